--- a/agent/agent.go
+++ b/agent/agent.go
@@ -83,6 +83,9 @@
 	reportInterval = 40 * time.Millisecond
 	// partBytes is how much of a chunk is sent at once: 3.5 ms of a link of 9.4 Mbit/s.
 	partBytes = 4 << 10
+	// uploadSlots is how many chunks are sent at once: few, so that each arrives
+	// early and can be passed on.
+	uploadSlots = 3
 )
 
 // Agent is the process beside an engine. Its exported methods serve gRPC calls.
@@ -114,7 +117,7 @@
 	spreader, err := transfer.New(transfer.Config{
 		Self:   spreadSelf(config),
 		Origin: origin, Staging: staging, Dial: a.dial, Logger: logger, RegionRate: regionRate,
-		UploadRate: config.UploadRate, PartBytes: partBytes,
+		UploadRate: config.UploadRate, PartBytes: partBytes, UploadSlots: uploadSlots,
 	})
 	if err != nil {
 		return nil, err
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -38,8 +38,8 @@
 	// newsRing is how many declarations of followers wait for the duty.
 	newsRing = 64
 	// regionRate is what weights may use of the link between two regions, in bytes
-	// a second: half of 25 Mbit/s.
-	regionRate = 1_600_000
+	// a second: five sixths of 25 Mbit/s; live requests need about a twentieth.
+	regionRate = 2_600_000
 )
 
 // loads brings the engine to the declared version. One goroutine owns its
@@ -70,9 +70,10 @@
 	// held is the version that the engine reports, boot its start.
 	held int64
 	boot int64
-	// owed is when the oldest declared version became known that the engine does
-	// not serve yet.
-	owed time.Time
+	// owed are the declarations that the engine does not serve yet, oldest first.
+	owed []declaration
+	// changedAt is when the engine began to serve its present version after another.
+	changedAt time.Time
 }
 
 func newLoads(config Config, spreader *transfer.Spreader, staging Staging, loader Loader, origin Origin, logger *log.Logger) *loads {
@@ -168,18 +169,46 @@
 		l.members = append(l.members, spread.Member{ID: core.VMID(m.GetEngine()), Zone: core.ZoneID(m.GetZone()), Region: core.RegionID(m.GetRegion())})
 	}
 	l.origin.SetAddress(news.GetOrigin())
+	l.spreader.SetOriginRegion(core.RegionID(news.GetOriginRegion()))
 	l.spreader.SetMembers(l.members)
 	if !newer {
 		return
 	}
 	l.log.Info("Weights declared.", "model", news.GetModel(), "version", news.GetVersion(), "members", len(l.members))
-	if l.owed.IsZero() {
-		l.owed = time.Now()
+	l.owed = append(l.owed, declaration{version: news.GetVersion(), at: time.Now()})
+	l.payOwed()
+	if l.finishFirst() {
+		l.log.Info("The former version is finished first.", "version", l.wanted.Version)
+		return
 	}
 	l.manifest = nil
 	l.read(ctx)
 }
 
+// finishFirst reports whether the version that is being staged is finished
+// before the declared one.
+func (l *loads) finishFirst() bool {
+	if l.manifest == nil || l.wanted.Version != l.manifest.Version || l.served(l.wanted.Version) {
+		return false
+	}
+	progress, _ := l.spreader.Progress(l.wanted.Version)
+	return rollout.FinishFirst(progress.Held, progress.Total, l.held > 0 && l.mayChange())
+}
+
+// served reports whether the engine serves a version or a newer one.
+func (l *loads) served(version core.VersionID) bool {
+	return l.declared != nil && l.held > 0 && l.config.Version(l.declared.GetModel(), l.held) == version
+}
+
+// superseded reports whether a newer version than the staged one is declared and
+// its turn has come.
+func (l *loads) superseded() bool {
+	if l.declared == nil || l.manifest == nil {
+		return false
+	}
+	return l.manifest.Version != l.config.Version(l.declared.GetModel(), l.declared.GetVersion()) && !l.finishFirst()
+}
+
 // read reads the manifest of the declared version until it has it.
 func (l *loads) read(ctx context.Context) {
 	if l.reading {
@@ -205,6 +234,9 @@
 	held := wholeVersion(report, l.layers())
 	if report.Boot != l.boot || held != l.held {
 		l.log.Info("The engine changed.", "boot", report.Boot, "version", held, "formerBoot", l.boot, "formerVersion", l.held)
+		if held > 0 && report.Boot == l.boot {
+			l.changedAt = time.Now()
+		}
 		l.boot, l.held = report.Boot, held
 	}
 	status := engine.Status{Boot: uint64(report.Boot), State: engine.StateEmpty}
@@ -214,14 +246,28 @@
 	if report.Loading {
 		status.State = engine.StateLoading
 	}
-	if l.declared != nil && held >= l.declared.GetVersion() {
-		l.owed = time.Time{}
-	}
+	l.payOwed()
 	l.step(ctx, activation.StatusSeen{Status: status})
 }
 
+// declaration is a version with the time at which it became known.
+type declaration struct {
+	version int64
+	at      time.Time
+}
+
+// payOwed forgets the declarations that the engine serves.
+func (l *loads) payOwed() {
+	for len(l.owed) > 0 && l.owed[0].version <= l.held {
+		l.owed = l.owed[1:]
+	}
+}
+
 // want tells the spreader which version to stage for the engine's present boot.
 func (l *loads) want(ctx context.Context) {
+	if l.superseded() {
+		l.manifest = nil
+	}
 	if l.declared != nil && l.manifest == nil {
 		l.read(ctx)
 		return
@@ -255,15 +301,17 @@
 // mayChange reports whether it is this engine's turn. An engine that serves
 // nothing need not wait.
 func (l *loads) mayChange() bool {
-	if l.held == 0 || l.owed.IsZero() {
+	if l.held == 0 || len(l.owed) == 0 {
 		return true
 	}
-	ids := make([]core.VMID, len(l.members))
-	for i, m := range l.members {
-		ids[i] = m.ID
+	candidate := rollout.Candidate{
+		Self: core.VMID(l.config.EngineAddress), Version: l.wanted.Version, Limit: l.config.SwitchTime,
+		Recent: !l.changedAt.IsZero() && time.Since(l.changedAt) < l.config.SwitchTime,
+	}
+	for _, m := range l.members {
+		candidate.Members = append(candidate.Members, m.ID)
 	}
-	turn := rollout.TurnAfter(core.VMID(l.config.EngineAddress), l.wanted.Version, ids, l.config.SwitchTime)
-	return time.Since(l.owed) >= turn
+	return time.Since(l.owed[0].at) >= rollout.TurnAfter(candidate)
 }
 
 // step passes one event to the machine and carries out its actions.
--- a/cmd/zsagent/providers.go
+++ b/cmd/zsagent/providers.go
@@ -15,7 +15,7 @@
 	stopTimeout = time.Second
 	// uploadShare is the part of the VM's link that weights may use: the streams of
 	// the engine take a tenth and must not queue behind them.
-	uploadShare = 0.65
+	uploadShare = 0.8
 )
 
 func provideEngine(s *platform.Settings) *platform.Engine { return platform.NewEngine(s.EngineAddress) }
--- a/rollout/turns.go
+++ b/rollout/turns.go
@@ -14,27 +14,64 @@
 	// turns is how many groups of endpoints change version one after the other, so
 	// that most of the capacity goes on serving.
 	turns = 3
-	// lastTurn is the part of the time for a change at which the last group begins:
-	// the rest is left for calls that run and for the load.
-	lastTurn = 0.62
-	// firstTurn is the part at which the first group begins.
-	firstTurn = 0.3
+	// firstTurn and lastTurn are the parts of the time for a change at which the
+	// first and the last group begin. Weights take some 0.4 of it to spread, and
+	// running calls some 0.3 to end.
+	firstTurn = 0.36
+	lastTurn  = 0.68
 )
 
-// TurnAfter returns how long after the declaration of a version an endpoint may
-// change to it, when all must have changed within limit. Members with the same
-// list work out the same groups, each spread over all zones.
-func TurnAfter(self core.VMID, version core.VersionID, members []core.VMID, limit time.Duration) time.Duration {
-	order := append(slices.Clone(members), self)
+// Candidate is an endpoint that is to change to a declared version.
+type Candidate struct {
+	Self    core.VMID
+	Version core.VersionID
+	// Members are all endpoints that are to change.
+	Members []core.VMID
+	// Limit is the time within which all must have changed.
+	Limit time.Duration
+	// Recent says that the endpoint changed to its present version within the limit.
+	Recent bool
+}
+
+// TurnAfter returns how long after the declaration an endpoint may change.
+// Members with the same list work out the same groups.
+//
+// Load pattern answered: the whole load goes on while all endpoints change, and
+// each that changes first waits for its calls. One that has just changed goes
+// last: the version that it serves may be served longest.
+func TurnAfter(c Candidate) time.Duration {
+	group := turns - 1
+	if !c.Recent {
+		group = c.group()
+	}
+	share := firstTurn + (lastTurn-firstTurn)*float64(group)/float64(turns-1)
+	return time.Duration(share * float64(c.Limit))
+}
+
+func (c Candidate) group() int {
+	order := append(slices.Clone(c.Members), c.Self)
 	slices.SortFunc(order, func(a, b core.VMID) int {
-		return cmp.Or(cmp.Compare(turnHash(a, version), turnHash(b, version)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(turnHash(a, c.Version), turnHash(b, c.Version)), cmp.Compare(a, b))
 	})
 	order = slices.Compact(order)
-	group := slices.Index(order, self) * turns / len(order)
-	share := firstTurn + (lastTurn-firstTurn)*float64(group)/float64(turns-1)
-	return time.Duration(share * float64(limit))
+	return slices.Index(order, c.Self) * turns / len(order)
 }
 
 func turnHash(vm core.VMID, version core.VersionID) uint64 {
 	return xxh3.HashStringSeed(string(vm), xxh3.HashString(string(version)))
 }
+
+// finishShare is the part of a version that must be staged for it to be finished
+// when a newer one is declared.
+const finishShare = 0.5
+
+// FinishFirst reports whether a version is staged to its end and loaded although
+// a newer one is declared: only where its turn has come.
+//
+// Load pattern answered: versions declared faster than one spreads. If all
+// endpoints gave each up for the next, none would hold weights that may serve
+// when the time for the first is over; if all finished it, each would wait for
+// its calls twice.
+func FinishFirst(staged, total int, turnCame bool) bool {
+	return turnCame && total > 0 && float64(staged) >= finishShare*float64(total)
+}
--- a/transfer/budget.go
+++ b/transfer/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -45,6 +46,9 @@
 	close(p.resumed)
 }
 
+// spend takes n tokens without waiting, so that those who wait do so for longer.
+func (p *pacer) spend(n int) { p.limiter.ReserveN(time.Now(), n) }
+
 // wait takes n tokens, at most a burst.
 func (p *pacer) wait(ctx context.Context, n int) error {
 	p.mu.Lock()
--- a/transfer/loop.go
+++ b/transfer/loop.go
@@ -58,7 +58,7 @@
 	r.startHeld = r.countHeld()
 	r.progress = Progress{Version: c.manifest.Version, Held: r.startHeld, Total: len(c.held)}
 	r.policy = s.construct(spread.Start{
-		Now: r.started, Self: s.config.Self, OriginRegion: s.config.OriginRegion,
+		Now: r.started, Self: s.config.Self, OriginRegion: *s.originRegion.Load(),
 		Manifest: c.manifest, Held: append([]bool(nil), c.held...), Members: c.members, Seed: s.config.Seed,
 	})
 	s.current = r
@@ -124,6 +124,7 @@
 		r.held[res.fetch.Chunk] = true
 		r.progress.Held++
 		s.board.set(res.fetch.Chunk, true)
+		s.log.Debug("Chunk staged.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source), "held", r.progress.Held)
 	}
 	s.checkDone()
 	s.publish()
--- a/transfer/serve.go
+++ b/transfer/serve.go
@@ -179,8 +179,10 @@
 				return err
 			}
 			metrics.Add("region_bytes", int64(n))
-		}
-		if err := paceWithHeartbeat(stream, s.upload, n); err != nil {
+			// What goes to another region is passed on there by many: it does not wait
+			// for what goes to the own zone.
+			s.upload.spend(n)
+		} else if err := paceWithHeartbeat(stream, s.upload, n); err != nil {
 			return err
 		}
 		slot.progress()
--- a/transfer/spreader.go
+++ b/transfer/spreader.go
@@ -43,6 +43,9 @@
 	inFlight int
 	fetchers sync.WaitGroup
 
+	// originRegion is where the origin stands; it may become known late.
+	originRegion atomic.Pointer[core.RegionID]
+
 	progressMu sync.Mutex
 	progress   map[core.VersionID]Progress
 }
@@ -81,9 +84,13 @@
 		unknown:    rate.NewLimiter(rate.Every(unknownInterval), 1),
 		progress:   map[core.VersionID]Progress{},
 	}
+	s.SetOriginRegion(config.OriginRegion)
 	return s, nil
 }
 
+// SetOriginRegion says where the origin stands, for spreads that start later.
+func (s *Spreader) SetOriginRegion(region core.RegionID) { s.originRegion.Store(&region) }
+
 // checkPolicy refuses policies that need announcements, which processes do not exchange.
 func checkPolicy(config Config, construct spread.Construct) error {
 	probe := construct(spread.Start{Self: config.Self, Manifest: &core.Manifest{}, Members: []spread.Member{config.Self}})
