--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,8 +124,8 @@
 	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
 	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
 	process.AddStop("leave", g.leave)
-	process.AddStop("calls", g.finishCalls)
-	process.AddStop("listeners", func(context.Context) error { return errors.Join(callerServer.Close(), readyServer.Close()) })
+	process.AddStop("callers", callerServer.Shutdown)
+	process.AddStop("readiness", func(context.Context) error { return readyServer.Close() })
 	g.log.Info("Serving.", "callers", g.config.CallerListen, "readiness", g.config.ReadyListen)
 	err = process.Run(ctx, g.config.StopTimeout)
 	g.log.Info("Stopped.", "err", err)
@@ -168,34 +168,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-const (
-	// leaveTime is how long connections may still arrive after the readiness check
-	// fails: two checks a second apart, with their time-outs.
-	leaveTime = 2500 * time.Millisecond
-	// quietTime is how long no call may be open before the listeners close.
-	quietTime = 300 * time.Millisecond
-	quietTick = 50 * time.Millisecond
-)
+// leaveTime is how long connections may still arrive after the readiness check
+// fails: two checks a second apart, with the way there and back.
+const leaveTime = 2200 * time.Millisecond
 
-// leave fails the readiness check and goes on serving until callers go elsewhere.
+// leave fails the readiness check and goes on serving until callers go
+// elsewhere. Each answer then ends its connection.
 func (g *Gateway) leave(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.log.Info("Stopping: the readiness check fails from now on.", "open", g.open.Load())
 	return kernel.Sleep(ctx, leaveTime)
 }
-
-// finishCalls waits until no call was open for quietTime.
-func (g *Gateway) finishCalls(ctx context.Context) error {
-	quietSince := time.Now()
-	for {
-		if g.open.Load() > 0 {
-			quietSince = time.Now()
-		}
-		if time.Since(quietSince) >= quietTime {
-			return nil
-		}
-		if err := kernel.Sleep(ctx, quietTick); err != nil {
-			return fmt.Errorf("%d calls are still open: %w", g.open.Load(), err)
-		}
-	}
-}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -31,7 +31,7 @@
 	queueBound = 512
 	// engineQueue is how many calls may wait at an engine beyond its slots: enough
 	// that a slot is filled at once when it becomes free.
-	engineQueue = 2
+	engineQueue = 1
 	// plainQueue is the same for plain services.
 	plainQueue = 2
 	// regionCost and zoneCost are added to the prediction for endpoints elsewhere.
