Weights: versions chosen by what can be had; quick patience for small weights

Origin and peers were held off 3 s doubling to 60 s, and peers held requests for 8 s.

Change: rollout.Choice stages what can be had and finishes a former version that is half there or whose successor stalls; chunks stay in memory and are staged again from there; the policy chunk_owner_quick has patience for weights that spread in seconds; an agent that starts does not wait for a turn.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,6 +81,8 @@
 const (
 	// reportInterval is how often the engine is looked at.
 	reportInterval = 40 * time.Millisecond
+	// spreadPolicy is for weights that spread within seconds.
+	spreadPolicy = "chunk_owner_quick"
 	// partBytes is how much of a chunk is sent at once: 3.5 ms of a link of 9.4 Mbit/s.
 	partBytes = 4 << 10
 	// uploadSlots is how many chunks are sent at once: few, so that each arrives
@@ -115,6 +117,7 @@
 		news: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
 	}
 	spreader, err := transfer.New(transfer.Config{
+		Policy: spreadPolicy,
 		Self:   spreadSelf(config),
 		Origin: origin, Staging: staging, Dial: a.dial, Logger: logger, RegionRate: regionRate,
 		UploadRate: config.UploadRate, PartBytes: partBytes, UploadSlots: uploadSlots,
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -59,23 +60,36 @@
 	// Owned by the duty.
 	machine  *activation.Machine
 	declared *peerpb.FleetNews
-	manifest *core.Manifest
-	// reading says that the manifest of the declared version is being read.
-	reading bool
-	members []spread.Member
-	// wanted is the target that the spreader was told of, staged that its chunks
-	// are all there.
+	members  []spread.Member
+	// pending are the declared versions that the engine does not serve yet, oldest first.
+	pending []*pendingVersion
+	// turn numbers what the machine is told to bring about.
+	turn uint64
+	// chosen is the version that is staged, wanted the target that the spreader
+	// was told of.
+	chosen *pendingVersion
 	wanted activation.Target
-	staged bool
 	// held is the version that the engine reports, boot its start.
 	held int64
 	boot int64
-	// owed are the declarations that the engine does not serve yet, oldest first.
-	owed []declaration
 	// changedAt is when the engine began to serve its present version after another.
 	changedAt time.Time
 }
 
+// pendingVersion is a declared version that the engine does not serve yet.
+type pendingVersion struct {
+	number     int64
+	id         core.VersionID
+	declaredAt time.Time
+	manifest   *core.Manifest
+	reading    bool
+	// staged is how many chunks there are, firstChunk and lastChunk when it grew.
+	staged int
+	// stagedSince is when the version was last chosen.
+	stagedSince           time.Time
+	firstChunk, lastChunk time.Time
+}
+
 func newLoads(config Config, spreader *transfer.Spreader, staging Staging, loader Loader, origin Origin, logger *log.Logger) *loads {
 	return &loads{
 		config: config, spreader: spreader, staging: staging, loader: loader, origin: origin, log: logger.WithPrefix("loads"),
@@ -109,8 +123,9 @@
 // manifestRead is the end of reading a manifest.
 type manifestRead struct {
 	activation.Tick
+	of *pendingVersion
+	// manifest is nil when it could not be read.
 	manifest *core.Manifest
-	version  int64
 }
 
 func (l *loads) report(ctx context.Context, event activation.Event) { _ = l.events.Put(ctx, event) }
@@ -125,9 +140,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case news := <-l.news.Items():
-			l.declare(ctx, news)
-		case manifest := <-l.spreader.Staged():
-			l.staged = l.staged || manifest.Version == l.wanted.Version
+			l.declare(news)
+		case <-l.spreader.Staged():
 		case event := <-l.events.Items():
 			l.settle(ctx, event)
 		case <-ticker.C:
@@ -144,12 +158,7 @@
 	case engineSeen:
 		l.seen(ctx, e.report)
 	case manifestRead:
-		l.reading = false
-		if e.manifest != nil && l.declared != nil && e.version == l.declared.GetVersion() {
-			l.manifest = e.manifest
-			l.staging.Expect(e.manifest)
-			l.step(ctx, activation.Declared{Revision: uint64(e.version), Manifest: e.manifest})
-		}
+		e.of.manifest, e.of.reading = e.manifest, false
 	default:
 		l.step(ctx, event)
 	}
@@ -157,10 +166,15 @@
 
 // declare takes what a follower declares. An older version than the known one
 // changes nothing.
-func (l *loads) declare(ctx context.Context, news *peerpb.FleetNews) {
+func (l *loads) declare(news *peerpb.FleetNews) {
 	if l.declared != nil && news.GetVersion() < l.declared.GetVersion() || news.GetVersion() == 0 {
 		return
 	}
+	declaredAt := time.Now()
+	if l.declared == nil {
+		// Nobody knows how long ago it was declared: it is not to wait for a turn.
+		declaredAt = declaredAt.Add(-l.config.SwitchTime)
+	}
 	newer := l.declared == nil || news.GetVersion() > l.declared.GetVersion()
 	l.declared = news
 	l.layerCount.Store(int32(news.GetLayers()))
@@ -175,57 +189,26 @@
 		return
 	}
 	l.log.Info("Weights declared.", "model", news.GetModel(), "version", news.GetVersion(), "members", len(l.members))
-	l.owed = append(l.owed, declaration{version: news.GetVersion(), at: time.Now()})
-	l.payOwed()
-	if l.finishFirst() {
-		l.log.Info("The former version is finished first.", "version", l.wanted.Version)
-		return
-	}
-	l.manifest = nil
-	l.read(ctx)
-}
-
-// finishFirst reports whether the version that is being staged is finished
-// before the declared one.
-func (l *loads) finishFirst() bool {
-	if l.manifest == nil || l.wanted.Version != l.manifest.Version || l.served(l.wanted.Version) {
-		return false
-	}
-	progress, _ := l.spreader.Progress(l.wanted.Version)
-	return rollout.FinishFirst(progress.Held, progress.Total, l.held > 0 && l.mayChange())
-}
-
-// served reports whether the engine serves a version or a newer one.
-func (l *loads) served(version core.VersionID) bool {
-	return l.declared != nil && l.held > 0 && l.config.Version(l.declared.GetModel(), l.held) == version
+	l.pending = append(l.pending, &pendingVersion{
+		number: news.GetVersion(), id: l.config.Version(news.GetModel(), news.GetVersion()), declaredAt: declaredAt,
+	})
 }
 
-// superseded reports whether a newer version than the staged one is declared and
-// its turn has come.
-func (l *loads) superseded() bool {
-	if l.declared == nil || l.manifest == nil {
-		return false
-	}
-	return l.manifest.Version != l.config.Version(l.declared.GetModel(), l.declared.GetVersion()) && !l.finishFirst()
-}
-
-// read reads the manifest of the declared version until it has it.
-func (l *loads) read(ctx context.Context) {
-	if l.reading {
+// read reads the manifest of a pending version.
+func (l *loads) read(ctx context.Context, p *pendingVersion) {
+	if p.reading || p.manifest != nil {
 		return
 	}
-	l.reading = true
-	declared := l.declared
+	p.reading = true
 	go func() {
-		id := l.config.Version(declared.GetModel(), declared.GetVersion())
-		manifest, err := l.origin.Manifest(ctx, id)
+		manifest, err := l.origin.Manifest(ctx, p.id)
 		if err != nil {
-			l.log.Warn("The manifest can't be read.", "version", id, "err", err)
+			l.log.Warn("The manifest can't be read.", "version", p.id, "err", err)
 			if kernel.Sleep(ctx, manifestRetry) != nil {
 				return
 			}
 		}
-		l.report(ctx, manifestRead{manifest: manifest, version: declared.GetVersion()})
+		l.report(ctx, manifestRead{of: p, manifest: manifest})
 	}()
 }
 
@@ -246,34 +229,38 @@
 	if report.Loading {
 		status.State = engine.StateLoading
 	}
-	l.payOwed()
+	l.forgetServed()
 	l.step(ctx, activation.StatusSeen{Status: status})
 }
 
-// declaration is a version with the time at which it became known.
-type declaration struct {
-	version int64
-	at      time.Time
-}
-
-// payOwed forgets the declarations that the engine serves.
-func (l *loads) payOwed() {
-	for len(l.owed) > 0 && l.owed[0].version <= l.held {
-		l.owed = l.owed[1:]
+// forgetServed drops the pending versions that the engine serves. The newest is
+// kept, since the engine may lose it.
+func (l *loads) forgetServed() {
+	for len(l.pending) > 1 && l.pending[0].number <= l.held {
+		l.pending = l.pending[1:]
 	}
 }
 
-// want tells the spreader which version to stage for the engine's present boot.
+// want chooses the version to stage and tells the spreader and the machine.
 func (l *loads) want(ctx context.Context) {
-	if l.superseded() {
-		l.manifest = nil
-	}
-	if l.declared != nil && l.manifest == nil {
-		l.read(ctx)
+	if len(l.pending) == 0 {
 		return
 	}
+	l.count()
+	for _, p := range l.pending {
+		l.read(ctx, p)
+	}
+	if chosen := l.choose(); chosen != l.chosen && chosen.manifest != nil {
+		if l.chosen != nil {
+			l.log.Info("Another version is staged.", "version", chosen.id, "staged", chosen.staged, "former", l.chosen.id, "formerStaged", l.chosen.staged)
+		}
+		l.chosen, chosen.stagedSince = chosen, time.Now()
+		l.turn++
+		l.staging.Expect(chosen.manifest)
+		l.step(ctx, activation.Declared{Revision: l.turn, Manifest: chosen.manifest})
+	}
 	manifest, _, boot, ok := l.machine.Wanted()
-	if !ok || manifest != l.manifest {
+	if !ok || l.chosen == nil {
 		return
 	}
 	target := activation.Target{Version: manifest.Version, Whole: manifest.Whole, Boot: boot}
@@ -286,7 +273,36 @@
 		l.log.Warn("The spread can't start.", "version", manifest.Version, "err", err)
 		return
 	}
-	l.wanted, l.staged = target, false
+	l.wanted = target
+}
+
+// count notes how many chunks of the chosen version there are.
+func (l *loads) count() {
+	if l.chosen == nil {
+		return
+	}
+	progress, known := l.spreader.Progress(l.chosen.id)
+	if !known || progress.Held == l.chosen.staged {
+		return
+	}
+	l.chosen.staged, l.chosen.lastChunk = progress.Held, time.Now()
+	if l.chosen.firstChunk.IsZero() {
+		l.chosen.firstChunk = l.chosen.lastChunk
+	}
+}
+
+// choose returns the version to stage.
+func (l *loads) choose() *pendingVersion {
+	choice := rollout.Choice{Now: time.Now(), Limit: l.config.SwitchTime, Serving: l.held > 0, TurnCame: l.mayChange()}
+	for _, p := range l.pending {
+		pending := rollout.Pending{Version: p.number, DeclaredAt: p.declaredAt, StagedSince: p.stagedSince, FirstChunkAt: p.firstChunk, LastChunkAt: p.lastChunk}
+		if p.manifest != nil {
+			pending.Share = float64(p.staged) / float64(len(p.manifest.Chunks))
+		}
+		choice.Pending = append(choice.Pending, pending)
+	}
+	stage := choice.Stage()
+	return l.pending[slices.IndexFunc(l.pending, func(p *pendingVersion) bool { return p.number == stage })]
 }
 
 // advance reports the staged weights to the machine once the engine may change.
@@ -301,17 +317,18 @@
 // mayChange reports whether it is this engine's turn. An engine that serves
 // nothing need not wait.
 func (l *loads) mayChange() bool {
-	if l.held == 0 || len(l.owed) == 0 {
+	oldest := l.pending[0]
+	if l.held == 0 || oldest.number <= l.held {
 		return true
 	}
 	candidate := rollout.Candidate{
-		Self: core.VMID(l.config.EngineAddress), Version: l.wanted.Version, Limit: l.config.SwitchTime,
+		Self: core.VMID(l.config.EngineAddress), Version: oldest.id, Limit: l.config.SwitchTime,
 		Recent: !l.changedAt.IsZero() && time.Since(l.changedAt) < l.config.SwitchTime,
 	}
 	for _, m := range l.members {
 		candidate.Members = append(candidate.Members, m.ID)
 	}
-	return time.Since(l.owed[0].at) >= rollout.TurnAfter(candidate)
+	return time.Since(oldest.declaredAt) >= rollout.TurnAfter(candidate)
 }
 
 // step passes one event to the machine and carries out its actions.
--- a/rollout/turns.go
+++ b/rollout/turns.go
@@ -60,18 +60,3 @@
 func turnHash(vm core.VMID, version core.VersionID) uint64 {
 	return xxh3.HashStringSeed(string(vm), xxh3.HashString(string(version)))
 }
-
-// finishShare is the part of a version that must be staged for it to be finished
-// when a newer one is declared.
-const finishShare = 0.5
-
-// FinishFirst reports whether a version is staged to its end and loaded although
-// a newer one is declared: only where its turn has come.
-//
-// Load pattern answered: versions declared faster than one spreads. If all
-// endpoints gave each up for the next, none would hold weights that may serve
-// when the time for the first is over; if all finished it, each would wait for
-// its calls twice.
-func FinishFirst(staged, total int, turnCame bool) bool {
-	return turnCame && total > 0 && float64(staged) >= finishShare*float64(total)
-}
--- a/spread/chain.go
+++ b/spread/chain.go
@@ -100,7 +100,7 @@
 func (p *chain) onFailed(now time.Time, e FetchFailed) {
 	delete(p.inFlight, e.Chunk)
 	if !e.Source.IsOrigin() && (e.Failure == FailureTimeout || e.Failure == FailureCorrupt) {
-		p.suspects.add(e.Source.Peer, now, firstHoldOff)
+		p.suspects.add(e.Source.Peer, now, firstHoldOff, maxHoldOff)
 	}
 	p.delayed.add(e.Chunk, now.Add(chainRetry))
 }
--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -9,20 +9,14 @@
 
 // Windows and times of the chunk_owner policy.
 const (
-	ownerGuessWindow   = 4
-	ownerPeerWait      = 8 * time.Second
-	ownerGuessWait     = time.Second
-	ownerPeerTimeout   = 3 * time.Second
-	ownerCrossWait     = 8 * time.Second
-	ownerCrossTimeout  = 5 * time.Second
-	ownerOriginTimeout = 10 * time.Second
-	ownerRetry         = 200 * time.Millisecond
-	ownerMaxRetry      = 5 * time.Second
-	// ownerMisses is after how many answers "missing" the next source is asked;
-	// one that came before the end of the wait counts ownerQuickMiss times.
-	ownerMisses      = 4
-	ownerCrossMisses = 8
-	ownerQuickMiss   = 2
+	ownerGuessWindow = 4
+	ownerPeerWait    = 8 * time.Second
+	ownerGuessWait   = time.Second
+	ownerCrossWait   = 8 * time.Second
+	ownerRetry       = 200 * time.Millisecond
+	// ownerQuickMiss is how often an answer "missing" counts that came before the
+	// end of the wait.
+	ownerQuickMiss = 2
 	// ownerMinCross is the least window of a head across regions.
 	ownerMinCross = 2
 	// ownerRootRanks and ownerFirstRanks are how many machines of the root and
@@ -45,13 +39,53 @@
 	// RegionWindow bounds the fetches across regions of all heads of a region
 	// together; each head takes an equal part, at most CrossWindow.
 	RegionWindow int
+	// Patience bounds the waits for sources that fail.
+	Patience Patience
 }
 
-// DefaultTuning is what the registered policy uses.
-var DefaultTuning = Tuning{Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RegionWindow: 128}
+// Patience bounds the waits for sources that fail.
+type Patience struct {
+	// OriginTimeout, CrossTimeout and PeerTimeout are how long the origin, a
+	// machine of another region and one of this region may be silent. A source
+	// that waits for a chunk itself says so each second.
+	OriginTimeout, CrossTimeout, PeerTimeout time.Duration
+	// CrossWait and PeerWait are how long a machine may hold a request for a chunk
+	// that it expects itself.
+	CrossWait, PeerWait time.Duration
+	// CrossMisses and PeerMisses are after how many answers "missing" the next
+	// source is asked.
+	CrossMisses, PeerMisses uint8
+	// MaxRetry bounds the wait before a chunk is asked for again.
+	MaxRetry time.Duration
+	// HoldOff is how long a source is avoided after its first failure; each
+	// further one doubles it up to MaxHoldOff.
+	HoldOff, MaxHoldOff time.Duration
+}
+
+// DefaultTuning is what the policy chunk_owner uses: for weights of gigabytes.
+var DefaultTuning = Tuning{
+	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RegionWindow: 128,
+	Patience: Patience{
+		OriginTimeout: 10 * time.Second, CrossTimeout: 5 * time.Second, PeerTimeout: 3 * time.Second,
+		CrossWait: 8 * time.Second, PeerWait: 8 * time.Second, CrossMisses: 8, PeerMisses: 4,
+		MaxRetry: 5 * time.Second, HoldOff: firstHoldOff, MaxHoldOff: maxHoldOff,
+	},
+}
+
+// QuickTuning is what the policy chunk_owner_quick uses: for weights that spread
+// within seconds, so that sources that come back are asked again at once.
+var QuickTuning = Tuning{
+	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RegionWindow: 128,
+	Patience: Patience{
+		OriginTimeout: 1500 * time.Millisecond, CrossTimeout: 1500 * time.Millisecond, PeerTimeout: 1300 * time.Millisecond,
+		CrossWait: time.Second, PeerWait: time.Second, CrossMisses: 4, PeerMisses: 2,
+		MaxRetry: 400 * time.Millisecond, HoldOff: 300 * time.Millisecond, MaxHoldOff: 900 * time.Millisecond,
+	},
+}
 
 func init() {
 	Policies.Register("chunk_owner", func() Construct { return NewChunkOwner(DefaultTuning) })
+	Policies.Register("chunk_owner_quick", func() Construct { return NewChunkOwner(QuickTuning) })
 }
 
 // NewChunkOwner returns the constructor of the policy with other sizes.
@@ -228,34 +262,34 @@
 	p.chunks[chunk].class = class
 	p.inFlight[class]++
 	p.started[chunk] = now
-	fetch := Fetch{Chunk: chunk, Source: source, Wait: waitOf(class), Timeout: timeoutOf(class)}
+	fetch := Fetch{Chunk: chunk, Source: source, Wait: p.tuning.Patience.wait(class), Timeout: p.tuning.Patience.timeout(class)}
 	p.suspects.probe(source.Peer, now, fetch.Timeout)
 	return fetch
 }
 
-// waitOf is how long a source of a class may hold a request.
-func waitOf(class fetchClass) time.Duration {
+// wait is how long a source of a class may hold a request.
+func (p Patience) wait(class fetchClass) time.Duration {
 	switch class {
 	case classOrigin:
 		return 0
 	case classCross:
-		return ownerCrossWait
+		return p.CrossWait
 	case classGuess:
 		return ownerGuessWait
 	default:
-		return ownerPeerWait
+		return p.PeerWait
 	}
 }
 
-// timeoutOf is how long a source of a class may be silent.
-func timeoutOf(class fetchClass) time.Duration {
+// timeout is how long a source of a class may be silent.
+func (p Patience) timeout(class fetchClass) time.Duration {
 	switch class {
 	case classOrigin:
-		return ownerOriginTimeout
+		return p.OriginTimeout
 	case classCross:
-		return ownerCrossTimeout
+		return p.CrossTimeout
 	default:
-		return ownerPeerTimeout
+		return p.PeerTimeout
 	}
 }
 
--- a/spread/chunk_owner_failures.go
+++ b/spread/chunk_owner_failures.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 // onFailed notes the failure and sets when the chunk is tried next.
@@ -29,9 +31,9 @@
 	case FailureMissing:
 		return p.noteMissing(record, after)
 	case FailureCorrupt:
-		p.suspects.add(e.Source.Peer, now, corruptHoldOff)
+		p.suspect(e.Source.Peer, now)
 	case FailureTimeout:
-		p.suspects.add(e.Source.Peer, now, firstHoldOff)
+		p.suspect(e.Source.Peer, now)
 	default:
 		countUp(&record.climb)
 	}
@@ -44,14 +46,14 @@
 // kept the request for the whole wait expects the chunk itself and gets more
 // patience than one that answers at once.
 func (p *chunkOwner) noteMissing(record *chunkRecord, after time.Duration) time.Duration {
-	waited := after >= waitOf(record.class)
+	waited := after >= p.tuning.Patience.wait(record.class)
 	record.misses += ownerQuickMiss
 	if waited {
 		record.misses -= ownerQuickMiss - 1
 	}
-	limit := uint8(ownerMisses)
+	limit := p.tuning.Patience.PeerMisses
 	if record.class == classCross {
-		limit = ownerCrossMisses
+		limit = p.tuning.Patience.CrossMisses
 	}
 	if record.misses >= limit {
 		record.misses = 0
@@ -67,7 +69,7 @@
 func (p *chunkOwner) noteOriginFailure(now time.Time, record *chunkRecord, failure Failure) time.Duration {
 	switch failure {
 	case FailureTimeout:
-		p.suspects.add(originSuspect, now, firstHoldOff)
+		p.suspect(originSuspect, now)
 		countUp(&record.attempts)
 	case FailureCorrupt:
 		countUp(&record.draws)
@@ -75,13 +77,18 @@
 	return p.backOff(record.draws)
 }
 
-// backOff doubles from ownerRetry to ownerMaxRetry; the first retry is immediate.
+// suspect avoids a source that failed.
+func (p *chunkOwner) suspect(id core.VMID, now time.Time) {
+	p.suspects.add(id, now, p.tuning.Patience.HoldOff, p.tuning.Patience.MaxHoldOff)
+}
+
+// backOff doubles from ownerRetry to MaxRetry; the first retry is immediate.
 func (p *chunkOwner) backOff(failures uint8) time.Duration {
 	if failures <= 1 {
 		return p.jitter(ownerRetry / 4)
 	}
 	doublings := min(failures-2, 8)
-	return p.jitter(min(ownerRetry<<doublings, ownerMaxRetry))
+	return p.jitter(min(ownerRetry<<doublings, p.tuning.Patience.MaxRetry))
 }
 
 // jitter returns between half of d and d.
--- a/spread/rarest_first.go
+++ b/spread/rarest_first.go
@@ -168,7 +168,7 @@
 	p.release(e.Chunk)
 	p.wanted = append(p.wanted, int32(e.Chunk))
 	if !e.Source.IsOrigin() && (e.Failure == FailureTimeout || e.Failure == FailureCorrupt) {
-		p.suspects.add(e.Source.Peer, now, firstHoldOff)
+		p.suspects.add(e.Source.Peer, now, firstHoldOff, maxHoldOff)
 	}
 	p.retryAt = now.Add(rarestRetry)
 }
--- a/spread/suspects.go
+++ b/spread/suspects.go
@@ -8,9 +8,8 @@
 
 // Hold-off times of sources that failed.
 const (
-	firstHoldOff   = 3 * time.Second
-	maxHoldOff     = 60 * time.Second
-	corruptHoldOff = 3 * time.Second
+	firstHoldOff = 3 * time.Second
+	maxHoldOff   = 60 * time.Second
 )
 
 // originSuspect stands for the origin among the suspects.
@@ -28,15 +27,15 @@
 	probed bool
 }
 
-// add holds a machine off; each further failure doubles the time.
-func (s suspects) add(id core.VMID, now time.Time, least time.Duration) {
+// add holds a machine off; each further failure doubles the time from least up to most.
+func (s suspects) add(id core.VMID, now time.Time, least, most time.Duration) {
 	known, ok := s[id]
 	holdOff := least
 	switch {
 	case ok && now.Before(known.until) && !known.probed:
 		return
 	case ok:
-		holdOff = min(2*known.holdOff, maxHoldOff)
+		holdOff = min(2*known.holdOff, most)
 	}
 	s[id] = suspicion{until: now.Add(holdOff), holdOff: holdOff}
 }
--- a/transfer/loop.go
+++ b/transfer/loop.go
@@ -116,6 +116,7 @@
 				fmt.Sprintf("Chunk %d from %s was rejected: its digest does not hold.", res.fetch.Chunk, sourceName(res.fetch.Source)))
 			s.log.Warn("Chunk rejected.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source))
 		}
+		s.log.Debug("Fetch failed.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source), "failure", res.failure)
 		s.publish()
 		s.step(spread.FetchFailed{Chunk: res.fetch.Chunk, Source: res.fetch.Source, Failure: res.failure})
 		return
--- a/transfer/spreader.go
+++ b/transfer/spreader.go
@@ -116,9 +116,31 @@
 			held[chunk] = true
 		}
 	}
+	if err := s.restage(ctx, manifest, held); err != nil {
+		return fmt.Errorf("want %s: %w", manifest.Version, err)
+	}
 	return s.commands.Put(ctx, wantCommand{manifest: manifest, held: held, members: members})
 }
 
+// restage puts chunks back that this process still has in memory.
+func (s *Spreader) restage(ctx context.Context, manifest *core.Manifest, held []bool) error {
+	for chunk, digest := range manifest.Chunks {
+		if held[chunk] {
+			continue
+		}
+		data, cached := s.cache.get(digest)
+		if !cached {
+			continue
+		}
+		if err := s.config.Staging.Put(ctx, manifest.Version, chunk, data); err != nil {
+			return err
+		}
+		held[chunk] = true
+		metrics.Add("chunks_restaged", 1)
+	}
+	return nil
+}
+
 // SetMembers replaces the machines that want the version. It reports false
 // when the event loop is too far behind; the caller repeats it later.
 func (s *Spreader) SetMembers(members []spread.Member) bool {
