--- /dev/null
+++ b/metastore/follower_test.go
@@ -0,0 +1,84 @@
+package metastore_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/metastore"
+)
+
+// script answers reads and watches in order and ends the test's context after the last.
+type script struct {
+	steps []func() ([]metastore.Change, uint64, error)
+	calls []string
+	end   context.CancelFunc
+}
+
+func (s *script) next(call string) ([]metastore.Change, uint64, error) {
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		s.end()
+		return nil, 0, context.Canceled
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step()
+}
+
+func (s *script) Read(context.Context, string) (metastore.Snapshot, error) {
+	items, revision, err := s.next("read")
+	return metastore.Snapshot{Items: items, Revision: revision}, err
+}
+
+func (s *script) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]metastore.Change, uint64, error) {
+	return s.next("watch")
+}
+
+type sink struct{ seen []string }
+
+func (s *sink) Replace(snapshot metastore.Snapshot, _ boottime.Instant, recovered bool) {
+	word := "replace"
+	if recovered {
+		word = "recovered"
+	}
+	s.seen = append(s.seen, word)
+}
+func (s *sink) Apply([]metastore.Change, uint64, boottime.Instant) { s.seen = append(s.seen, "apply") }
+func (s *sink) Lost(error)                                         { s.seen = append(s.seen, "lost") }
+
+func answer(revision uint64) func() ([]metastore.Change, uint64, error) {
+	return func() ([]metastore.Change, uint64, error) { return nil, revision, nil }
+}
+
+func failure(err error) func() ([]metastore.Change, uint64, error) {
+	return func() ([]metastore.Change, uint64, error) { return nil, 0, err }
+}
+
+func follow(t *testing.T, steps ...func() ([]metastore.Change, uint64, error)) (*script, *sink) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	store, seen := &script{steps: steps, end: cancel}, &sink{}
+	follower := metastore.Follower{Store: store, Sink: seen, Now: boottime.Now}
+	NewWithT(t).Expect(follower.Run(ctx)).To(MatchError(context.Canceled))
+	return store, seen
+}
+
+func TestForgottenHistoryIsReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	store, seen := follow(t, answer(3), answer(4), failure(metastore.ErrCompacted), answer(9), answer(10))
+	g.Expect(store.calls).To(Equal([]string{"read", "watch", "watch", "read", "watch", "watch"}))
+	g.Expect(seen.seen).To(Equal([]string{"replace", "apply", "replace", "apply"}))
+}
+
+func TestAnOutageIsToldOnceAndTheReturnAsRecovered(t *testing.T) {
+	g := NewWithT(t)
+	away := errors.New("away")
+	_, seen := follow(t, answer(3), failure(away), failure(away), failure(metastore.ErrRateLimited), answer(7), answer(8))
+	g.Expect(seen.seen).To(Equal([]string{"replace", "lost", "recovered", "apply"}))
+}
--- /dev/null
+++ b/placement/placer_test.go
@@ -0,0 +1,177 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/catalogue"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/placement"
+)
+
+const (
+	engines core.ServiceID = "engines"
+	model                  = "m"
+	layers                 = 16
+	slots                  = 16
+)
+
+// start is the instant at which tests begin.
+var start = boottime.Instant(time.Hour)
+
+func profile() *catalogue.EngineProfile {
+	return &catalogue.EngineProfile{
+		Models: []string{model}, BatchSlots: slots, Step: 7400 * time.Microsecond, StepPerCall: 39 * time.Microsecond,
+		StepPerThousand: 20 * time.Microsecond, StepsPerPass: 6, PromptTokensPerSecond: 31_900, PromptChunk: 2048,
+		UsualPrompt: 973, UsualAnswer: 106, Layers: layers,
+	}
+}
+
+// fleetView is a view with n engines that hold a version, in two zones.
+func fleetView(n int, version int64) *fleet.View {
+	view := fleet.NewView()
+	view.Deployment = &catalogue.Deployment{Services: map[core.ServiceID]catalogue.Backend{
+		engines: {Name: engines, Engine: profile(), ColdRate: 36},
+	}}
+	view.Versions[model] = version
+	for i := range n {
+		id := fleet.EndpointID(fmt.Sprintf("e%d", i))
+		view.Endpoints[id] = &fleet.Endpoint{
+			ID: id, Service: engines, Address: fmt.Sprintf("10.0.0.%d:80", i+1), Slots: slots,
+			Zone: core.ZoneID(fmt.Sprintf("z%d", i%2)), Region: core.RegionID(fmt.Sprintf("r%d", i%2)), Boot: 1,
+			Weights: []fleet.LoadedLayers{{Model: model, Version: version, From: 0, To: layers}}, SeenAt: start,
+		}
+	}
+	return view
+}
+
+func newPlacer(view *fleet.View) *placement.Placer {
+	p := placement.New(placement.Config{
+		Zone: "z0", Region: "r0", ColdOver: 1.5, ColdSlack: 5, ColdShare: 1, VersionSwitch: 8 * time.Second,
+		Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	p.SetView(start, view)
+	return p
+}
+
+func call(now boottime.Instant) placement.Request {
+	return placement.Request{Service: engines, PromptTokens: 1000, OutputTokens: 120, OnTimeBy: now.Add(400 * time.Millisecond), Deadline: now.Add(6 * time.Second)}
+}
+
+func TestCallsGoToTheEngineThatAnswersFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(2, 1))
+	counts := map[fleet.EndpointID]int{}
+	for range 2 * slots {
+		decision := p.Submit(start, call(start)).Decision()
+		g.Expect(decision.Verdict).To(Equal(placement.Place))
+		counts[decision.Endpoint.ID]++
+	}
+	g.Expect(counts).To(HaveLen(2))
+	for _, n := range counts {
+		g.Expect(n).To(BeNumerically("~", slots, 1))
+	}
+}
+
+func TestCallsWaitWhenAllEnginesAreFullAndGoOnWhenOneEnds(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(1, 1))
+	var first *placement.Ticket
+	for {
+		ticket := p.Submit(start, call(start))
+		if ticket.Decision().Verdict == placement.Wait {
+			break
+		}
+		first = ticket
+	}
+	g.Expect(p.Waiting()).To(Equal(1))
+	g.Expect(p.Pump(start)).To(BeEmpty())
+	p.Ended(start.Add(time.Millisecond), first, placement.EndAnswered)
+	decided := p.Pump(start.Add(time.Millisecond))
+	g.Expect(decided).To(HaveLen(1))
+	g.Expect(decided[0].Decision().Verdict).To(Equal(placement.Place))
+}
+
+func TestOlderWeightsBeginNoWorkWhenTheTimeForTheChangeIsOver(t *testing.T) {
+	g := NewWithT(t)
+	view := fleetView(1, 1)
+	p := newPlacer(view)
+	declared := fleetView(1, 1)
+	declared.Versions[model] = 2
+	p.SetView(start, declared)
+	g.Expect(p.Submit(start.Add(7*time.Second), call(start)).Decision().Verdict).To(Equal(placement.Place))
+	late := p.Submit(start.Add(7500*time.Millisecond), call(start.Add(7500*time.Millisecond)))
+	g.Expect(late.Decision().Verdict).NotTo(Equal(placement.Place))
+}
+
+func TestAProcessThatJustStartedDoesNotKnowHowOldADeclarationIs(t *testing.T) {
+	g := NewWithT(t)
+	view := fleetView(1, 1)
+	view.Versions[model] = 2
+	p := newPlacer(view)
+	g.Expect(p.Submit(start, call(start)).Decision().Verdict).NotTo(Equal(placement.Place))
+}
+
+func TestNothingGoesToDrainingEndpointsAndZonesThatAreOut(t *testing.T) {
+	g := NewWithT(t)
+	view := fleetView(2, 1)
+	view.Endpoints["e0"].Draining = true
+	view.ZonesOut["z1"] = true
+	p := newPlacer(view)
+	decision := p.Submit(start, call(start)).Decision()
+	g.Expect(decision.Verdict).To(Equal(placement.Reject))
+	g.Expect(decision.RetryAfter).To(BeNumerically(">", 0))
+}
+
+func TestHomesOfRouteAndTeamBothBind(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(4, 1))
+	for range 20 {
+		request := call(start)
+		request.Homes = [][]core.RegionID{{"r0", "r1"}, {"r1"}}
+		decision := p.Submit(start, request).Decision()
+		g.Expect(decision.Verdict).To(Equal(placement.Place))
+		g.Expect(decision.Endpoint.Region).To(Equal(core.RegionID("r1")))
+	}
+}
+
+func TestAnEngineThatDoesNotRespondIsAvoided(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(2, 1))
+	stuck := p.Submit(start, call(start))
+	hung := stuck.Decision().Endpoint.ID
+	later := start.Add(time.Second)
+	for range 5 {
+		decision := p.Submit(later, call(later)).Decision()
+		g.Expect(decision.Endpoint.ID).NotTo(Equal(hung))
+	}
+}
+
+func TestCallsAtAnUnreachableEngineAreGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(1, 1))
+	ticket := p.Submit(start, call(start))
+	lost := p.EngineNews(placement.EngineNews{Address: "10.0.0.1:80", Unreachable: true, At: start})
+	g.Expect(lost).To(ConsistOf(ticket))
+	g.Expect(p.EngineNews(placement.EngineNews{Address: "10.0.0.1:80", Unreachable: true, At: start})).To(BeEmpty())
+}
+
+func TestAColdEngineGetsNoMoreThanTheShareOfItsRate(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(1, 1))
+	sent := 0
+	for range 200 {
+		ticket := p.Submit(start, call(start))
+		if ticket.Decision().Verdict == placement.Place {
+			sent++
+			p.Ended(start, ticket, placement.EndAnswered)
+		}
+	}
+	g.Expect(sent).To(BeNumerically("<=", 59))
+}
