--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -13,6 +13,9 @@
 // pumpInterval is how often waiting calls are looked at when nothing else happens.
 const pumpInterval = 10 * time.Millisecond
 
+// overdueInterval is how often calls without a first byte are looked at.
+const overdueInterval = 50 * time.Millisecond
+
 // scheduler runs a placer for many goroutines and wakes those that wait.
 type scheduler struct {
 	now boottime.Clock
@@ -30,14 +33,28 @@
 
 // run looks at the waiting calls until ctx ends.
 func (s *scheduler) run(ctx context.Context) error {
-	ticker := time.NewTicker(pumpInterval)
+	ticker, overdue := time.NewTicker(pumpInterval), time.NewTicker(overdueInterval)
 	defer ticker.Stop()
+	defer overdue.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 			s.pump()
+		case <-overdue.C:
+			s.moveOverdue()
+		}
+	}
+}
+
+// moveOverdue ends attempts that are better made elsewhere.
+func (s *scheduler) moveOverdue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ticket := range s.placer.Overdue(s.now()) {
+		if abandon, open := s.open[ticket]; open {
+			abandon(errOverdue)
 		}
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -58,6 +58,9 @@
 // errEndpointLost is the cause of an attempt's context whose endpoint is not reachable.
 var errEndpointLost = errors.New("the endpoint is not reachable")
 
+// errOverdue is the cause of an attempt's context that is moved to another endpoint.
+var errOverdue = errors.New("the first byte is long overdue")
+
 // errDeadline is the cause of a context whose call's time is over.
 var errDeadline = errors.New("the time of the call is over")
 
@@ -265,8 +268,11 @@
 func (s *session) failed(ticket *placement.Ticket, decision placement.Decision, err error) step {
 	ending := placement.EndFailed
 	notSent := errors.Is(err, forward.ErrNotSent)
-	if s.ctx.Err() != nil {
+	switch {
+	case s.ctx.Err() != nil:
 		ending = placement.EndLeft
+	case errors.Is(err, errOverdue):
+		ending = placement.EndOverdue
 	}
 	if notSent {
 		s.refusedSends++
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -110,13 +110,18 @@
 		return true
 	}
 	for ticket := range e.open {
-		if !ticket.started && now.Sub(ticket.sentAt) > slowFactor*ticket.decision.Expected+slowSlack {
+		if ticket.overdue(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// overdue reports whether the first byte should have come long ago.
+func (t *Ticket) overdue(now boottime.Instant) bool {
+	return !t.started && now.Sub(t.sentAt) > slowFactor*t.decision.Expected+slowSlack
+}
+
 func (e *endpointState) takeReport(report Report) {
 	if report.At < e.report.At {
 		return
--- a/placement/health.go
+++ b/placement/health.go
@@ -11,6 +11,9 @@
 	// each further one doubles it up to maxHoldOff.
 	holdOff    = 250 * time.Millisecond
 	maxHoldOff = 4 * time.Second
+	// overdueHoldOff is how long an endpoint is avoided from which a call was moved:
+	// as long as narrow links and hung engines last, at least.
+	overdueHoldOff = 2 * time.Second
 )
 
 // health holds an endpoint off after failures in a row.
@@ -25,6 +28,11 @@
 	h.until = now.Add(min(wait, maxHoldOff))
 }
 
+func (h *health) overdue(now boottime.Instant) {
+	h.failures++
+	h.until = now.Add(overdueHoldOff)
+}
+
 func (h *health) answered() { h.failures = 0 }
 
 func (h *health) avoided(now boottime.Instant) bool { return now.Before(h.until) }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -373,6 +373,47 @@
 	return base/2 + time.Duration(p.config.Random.Int64N(int64(base)))
 }
 
+// maxSlowShare is the share of a service's endpoints up to which calls are moved
+// away from those that do not respond. Beyond it the load is too high, not an
+// endpoint slow, and moved calls would only add to it.
+const maxSlowShare = 0.25
+
+// Overdue returns the calls that are better moved to another endpoint.
+//
+// Load pattern answered: one endpoint hangs, or weights fill its narrow link,
+// while the others have room; its callers would leave before their first event.
+func (p *Placer) Overdue(now boottime.Instant) []*Ticket {
+	var overdue []*Ticket
+	for _, list := range p.byService {
+		slow := 0
+		var tickets []*Ticket
+		for _, e := range list {
+			before := len(tickets)
+			for ticket := range e.open {
+				if ticket.Request.MayMove && ticket.overdue(now) {
+					tickets = append(tickets, ticket)
+				}
+			}
+			if len(tickets) > before {
+				slow++
+			}
+		}
+		if float64(slow) <= maxSlowShare*float64(len(list)) {
+			overdue = append(overdue, tickets...)
+		}
+	}
+	return slices.DeleteFunc(overdue, func(t *Ticket) bool { return !p.hasOther(now, t) })
+}
+
+// hasOther reports whether an endpoint with room, that responds, may take a call
+// from the one that it runs at.
+func (p *Placer) hasOther(now boottime.Instant, ticket *Ticket) bool {
+	request := ticket.Request
+	return slices.ContainsFunc(p.byService[request.Service], func(e *endpointState) bool {
+		return e != ticket.endpoint && p.may(now, e, &request) && p.hasRoom(now, e) && !e.health.avoided(now) && !e.unresponsive(now)
+	})
+}
+
 // Started says that the first byte of an answer has come.
 func (p *Placer) Started(ticket *Ticket) { ticket.started = true }
 
@@ -389,6 +430,8 @@
 	EndFailed
 	// EndLeft means that the caller left or its time was over.
 	EndLeft
+	// EndOverdue means that the call was moved because its first byte did not come.
+	EndOverdue
 	// EndMisdirected means that another endpoint has the address, or other weights.
 	EndMisdirected
 )
@@ -410,6 +453,8 @@
 		e.closedUntil = now.Add(refusedFor)
 	case EndFailed:
 		e.health.failed(now)
+	case EndOverdue:
+		e.health.overdue(now)
 	case EndLeft:
 	}
 }
--- a/placement/request.go
+++ b/placement/request.go
@@ -32,6 +32,9 @@
 	Deadline boottime.Instant
 	// Returned says that the caller was turned away before and came back.
 	Returned bool
+	// MayMove says that it may run more than once, and so may be taken from an
+	// endpoint that does not respond.
+	MayMove bool
 	// Tried are the endpoints that it was sent to.
 	Tried []fleet.EndpointID
 }
--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -39,6 +39,11 @@
 	// RegionWindow bounds the fetches across regions of all heads of a region
 	// together; each head takes an equal part, at most CrossWindow.
 	RegionWindow int
+	// StartWindow is where PeerWindow and CrossWindow begin; 0 begins with the whole.
+	StartWindow int
+	// SlowTransfer is the time of a transfer from which the windows shrink; shorter
+	// ones let them grow. 0 leaves them as they are.
+	SlowTransfer time.Duration
 	// Patience bounds the waits for sources that fail.
 	Patience Patience
 }
@@ -75,7 +80,8 @@
 // QuickTuning is what the policy chunk_owner_quick uses: for weights that spread
 // within seconds, so that sources that come back are asked again at once.
 var QuickTuning = Tuning{
-	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RegionWindow: 128,
+	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 16, RegionWindow: 128,
+	StartWindow: 6, SlowTransfer: 500 * time.Millisecond,
 	Patience: Patience{
 		OriginTimeout: 1500 * time.Millisecond, CrossTimeout: 1500 * time.Millisecond, PeerTimeout: 1300 * time.Millisecond,
 		CrossWait: time.Second, PeerWait: time.Second, CrossMisses: 4, PeerMisses: 2,
@@ -137,9 +143,11 @@
 // it from the first region. Only some gateways send on each link. In a zone the chunk goes down a k-ary tree in the order of the
 // machines' hashes for it. A machine whose parent fails asks the next ancestor.
 type chunkOwner struct {
-	start    Start
-	tuning   Tuning
-	windows  [classCount]int
+	start   Start
+	tuning  Tuning
+	windows [classCount]int
+	// most is what the windows may grow to.
+	most     [classCount]int
 	topology *topology
 	tree     tree
 	chunks   []chunkRecord
@@ -157,7 +165,7 @@
 	p := &chunkOwner{
 		start:    start,
 		tuning:   tuning,
-		windows:  tuning.windows(),
+		most:     tuning.windows(),
 		chunks:   make([]chunkRecord, len(start.Held)),
 		suspects: suspects{},
 		chance:   rand.New(rand.NewPCG(start.Seed, hashMember(start.Manifest.Version, start.Self.ID))),
@@ -169,6 +177,11 @@
 		}
 	}
 	p.start.Held = nil
+	p.windows = p.most
+	if tuning.StartWindow > 0 {
+		p.windows[classPeer] = min(tuning.StartWindow, p.most[classPeer])
+		p.windows[classCross] = min(tuning.StartWindow, p.most[classCross])
+	}
 	p.setMembers(start.Members, start.Now)
 	return p
 }
@@ -178,7 +191,11 @@
 	p.start.Members = nil
 	p.topology = newTopology(p.start.Manifest.Version, p.start.Self, p.start.OriginRegion, members)
 	p.tree = tree{topology: p.topology, arity: p.tuning.Arity}
-	p.windows[classCross] = p.crossWindow()
+	p.most[classCross] = p.crossWindow()
+	p.windows[classCross] = min(p.windows[classCross], p.most[classCross])
+	if p.tuning.SlowTransfer == 0 {
+		p.windows[classCross] = p.most[classCross]
+	}
 	p.suspects.keep(p.topology.zoneOf)
 	p.delayed = p.delayed[:0]
 	for class := range p.ready {
@@ -304,8 +321,23 @@
 	return started
 }
 
+// adapt fits a window to the link. Load pattern answered: live requests share a
+// link that has become narrow, and would wait behind all chunks in flight.
+func (p *chunkOwner) adapt(class fetchClass, transfer time.Duration) {
+	if p.tuning.SlowTransfer == 0 || transfer == 0 {
+		return
+	}
+	if transfer > p.tuning.SlowTransfer {
+		p.windows[class] = max(p.windows[class]/2, 1)
+		return
+	}
+	p.windows[class] = min(p.windows[class]+1, p.most[class])
+}
+
 func (p *chunkOwner) onHeld(e ChunkHeld) {
+	class := p.chunks[e.Chunk].class
 	p.finish(e.Chunk)
 	p.chunks[e.Chunk].state = chunkHeld
+	p.adapt(class, e.Transfer)
 	p.suspects.clear(e.Source.Peer, p.topology.zoneOf)
 }
--- a/spread/policy.go
+++ b/spread/policy.go
@@ -42,6 +42,8 @@
 type ChunkHeld struct {
 	Chunk  int
 	Source Source
+	// Transfer is the time from the first byte to the last; 0 when it is not known.
+	Transfer time.Duration
 }
 
 // Failure is why a fetch brought nothing.
--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -47,7 +47,7 @@
 func (s *Spreader) fetch(r *run, fetch spread.Fetch) result {
 	res := result{run: r, fetch: fetch}
 	_, length := r.manifest.ChunkRange(fetch.Chunk)
-	data, err := s.receive(r, fetch, length, &res.bytes)
+	data, err := s.receive(r, fetch, length, &res)
 	if data != nil {
 		defer s.receiving.Release(s.weight(length))
 	}
@@ -68,11 +68,11 @@
 // than the budget takes all of it.
 func (s *Spreader) weight(length int64) int64 { return min(length, s.config.ReceiveBytes) }
 
-func (s *Spreader) receive(r *run, fetch spread.Fetch, length int64, received *int64) ([]byte, error) {
+func (s *Spreader) receive(r *run, fetch spread.Fetch, length int64, res *result) ([]byte, error) {
 	if fetch.Source.IsOrigin() {
-		return s.receiveFromOrigin(r, fetch, length, received)
+		return s.receiveFromOrigin(r, fetch, length, &res.bytes)
 	}
-	return s.receiveFromPeer(r, fetch, length, received)
+	return s.receiveFromPeer(r, fetch, length, res)
 }
 
 func (s *Spreader) receiveFromOrigin(r *run, fetch spread.Fetch, length int64, received *int64) ([]byte, error) {
@@ -99,7 +99,7 @@
 	return data, err
 }
 
-func (s *Spreader) receiveFromPeer(r *run, fetch spread.Fetch, length int64, received *int64) ([]byte, error) {
+func (s *Spreader) receiveFromPeer(r *run, fetch spread.Fetch, length int64, res *result) ([]byte, error) {
 	client, err := s.config.Dial(fetch.Source.Peer)
 	if err != nil {
 		return nil, err
@@ -122,8 +122,10 @@
 	if err := s.receiving.Acquire(ctx, s.weight(length)); err != nil {
 		return nil, err
 	}
+	began := time.Now()
+	defer func() { res.transfer = time.Since(began) }()
 	data := make([]byte, 0, length)
-	return s.readParts(ctx, stream, first, data, dog, received)
+	return s.readParts(ctx, stream, first, data, dog, &res.bytes)
 }
 
 // firstPart skips the empty parts that a waiting server sends.
--- a/transfer/loop.go
+++ b/transfer/loop.go
@@ -129,7 +129,7 @@
 	}
 	s.checkDone()
 	s.publish()
-	s.step(spread.ChunkHeld{Chunk: res.fetch.Chunk, Source: res.fetch.Source})
+	s.step(spread.ChunkHeld{Chunk: res.fetch.Chunk, Source: res.fetch.Source, Transfer: res.transfer})
 }
 
 func (s *Spreader) checkDone() {
--- a/transfer/run.go
+++ b/transfer/run.go
@@ -44,6 +44,8 @@
 	failure spread.Failure
 	ok      bool
 	bytes   int64
+	// transfer is the time from the first byte to the last.
+	transfer time.Duration
 }
 
 // command is a request of another goroutine to the event loop.
