--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/kernel"
+	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/transfer"
@@ -73,6 +74,8 @@
 	// SwitchTime is how long after a declaration the last engine must have changed.
 	SwitchTime  time.Duration
 	StopTimeout time.Duration
+	// MetricsListen serves counters and histograms.
+	MetricsListen string
 	// Version names the weights of a model with a declared number.
 	Version func(model string, version int64) core.VersionID
 }
@@ -144,6 +147,7 @@
 	peerpb.RegisterPeerServer(server, a)
 	var process kernel.Process
 	process.AddDuty("grpc", func(context.Context) error { return server.Serve(listener) })
+	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, a.config.MetricsListen, a.log) })
 	process.AddDuty("peers", a.pool.Run)
 	process.AddDuty("spread", a.spreader.Run)
 	process.AddDuty("loads", a.loads.run)
--- a/cmd/zsagent/providers.go
+++ b/cmd/zsagent/providers.go
@@ -24,10 +24,10 @@
 
 func providePool() *peers.Pool { return peers.NewPool("", peers.Security{}) }
 
-func provideConfig(s *platform.Settings) agent.Config {
+func provideConfig(o *platform.Options, s *platform.Settings) agent.Config {
 	return agent.Config{
 		EngineAddress: s.EngineAddress, Zone: s.Zone, Region: s.Region,
 		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerPort: s.FirstPort,
-		UploadRate: int64(float64(s.LinkRate) * uploadShare), SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, Version: platform.VersionID,
+		UploadRate: int64(float64(s.LinkRate) * uploadShare), SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
 	}
 }
--- a/cmd/zsagent/wire_gen.go
+++ b/cmd/zsagent/wire_gen.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	config := provideConfig(settings)
+	config := provideConfig(opts, settings)
 	engine := provideEngine(settings)
 	origin := provideOrigin()
 	pool := providePool()
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -39,11 +39,12 @@
 	}
 }
 
-func provideConfig(s *platform.Settings) gateway.Config {
+func provideConfig(o *platform.Options, s *platform.Settings) gateway.Config {
 	return gateway.Config{
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
 		KeyLife: s.Bounds.KeyRevocation - keyMargin, DeclaredLife: s.Bounds.ConfigInForce + watchWait,
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetryBurst: max(s.Bounds.RetrySlack*budgetShare, 1),
-		StopTimeout: s.Bounds.StopGrace - stopMargin, WatchWait: watchWait,
+		MetricsListen: o.MetricsListen(s),
+		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait,
 	}
 }
--- a/cmd/zsgateway/wire_gen.go
+++ b/cmd/zsgateway/wire_gen.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	config := provideConfig(settings)
+	config := provideConfig(opts, settings)
 	dialect := provideDialect()
 	store := provideStore(settings)
 	decoder := provideDecoder(settings)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/metastore"
+	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/placement"
 )
@@ -54,6 +55,8 @@
 	RetryRatio, RetryBurst float64
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// MetricsListen serves counters and histograms.
+	MetricsListen string
 	// WatchWait bounds one watch of the store.
 	WatchWait time.Duration
 }
@@ -119,6 +122,7 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTime}
 	var process kernel.Process
 	process.AddDuty("store", g.followStore)
+	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, g.config.MetricsListen, g.log) })
 	process.AddDuty("placement", g.scheduler.run)
 	process.AddDuty("agents", g.agents.run)
 	process.AddDuty("sweep", g.sweep)
