--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -22,8 +22,12 @@
 	keyMargin = 250 * time.Millisecond
 	// stopMargin is kept from the time between SIGTERM and SIGKILL.
 	stopMargin = 500 * time.Millisecond
-	// watchWait bounds a watch, and so the age of what is known on a quiet day.
-	watchWait = 2400 * time.Millisecond
+	// maxWatchWait bounds a watch. Its answer confirms what was known when it was
+	// sent, so that beliefs grow as old as two watches on a quiet day.
+	maxWatchWait = 2400 * time.Millisecond
+	// watchShare is the part of the time for revoked keys that one watch may take:
+	// two of them and a slow answer must fit.
+	watchShare = 0.35
 )
 
 func provideDecoder(s *platform.Settings) fleet.Decoder { return &platform.Decoder{Regions: s.Regions} }
@@ -39,12 +43,17 @@
 	}
 }
 
+// watchWait is how long a watch of the store waits for changes.
+func watchWait(bounds platform.Bounds) time.Duration {
+	return min(maxWatchWait, time.Duration(watchShare*float64(bounds.KeyRevocation)))
+}
+
 func provideConfig(o *platform.Options, s *platform.Settings) gateway.Config {
 	return gateway.Config{
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
-		KeyLife: s.Bounds.KeyRevocation - keyMargin, DeclaredLife: s.Bounds.ConfigInForce + watchWait,
+		KeyLife: s.Bounds.KeyRevocation - keyMargin, DeclaredLife: s.Bounds.ConfigInForce + 2*watchWait(s.Bounds),
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetryBurst: max(s.Bounds.RetrySlack*budgetShare, 1),
 		MetricsListen: o.MetricsListen(s),
-		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait,
+		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
 	}
 }
