A name that said turn for a revision; a method that nothing called

Read as a newcomer: agent.loads numbered its declarations as turns, next to turnAt, which is a time; gateway.Dialect had a method without a caller. Behaviour unchanged; lint and the packages' tests pass.

--- a/agent/loads.go
+++ b/agent/loads.go
@@ -63,8 +63,8 @@
 	members  []spread.Member
 	// pending are the declared versions that the engine does not serve yet, oldest first.
 	pending []*pendingVersion
-	// turn numbers what the machine is told to bring about.
-	turn uint64
+	// revision numbers what the machine is told to bring about.
+	revision uint64
 	// chosen is the version that is staged, wanted the target that the spreader
 	// was told of.
 	chosen *pendingVersion
@@ -255,9 +255,9 @@
 			l.log.Info("Another version is staged.", "version", chosen.id, "staged", chosen.staged, "former", l.chosen.id, "formerStaged", l.chosen.staged)
 		}
 		l.chosen, chosen.stagedSince = chosen, time.Now()
-		l.turn++
+		l.revision++
 		l.staging.Expect(chosen.manifest)
-		l.step(ctx, activation.Declared{Revision: l.turn, Manifest: chosen.manifest})
+		l.step(ctx, activation.Declared{Revision: l.revision, Manifest: chosen.manifest})
 	}
 	manifest, _, boot, ok := l.machine.Wanted()
 	if !ok || l.chosen == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,8 +34,6 @@
 	TooLarge(err error) bool
 	// PassHeaders copies the headers of an endpoint's answer.
 	PassHeaders(to, from http.Header)
-	// Sealed reports whether an answer is marked as an endpoint's own.
-	Sealed(header http.Header) bool
 	// SetRetryAfter tells a caller when to come back.
 	SetRetryAfter(header http.Header, wait time.Duration)
 }
