One start of both programs and one HTTP call in platform/

Found by the duplicate check: the mains of zsgateway and zsagent were the same but for a name, the store's client read answers as callHTTP does. Moved into platform.Process and callHTTP, wire generated anew; loads.take had an unused parameter. README says what the two programs need.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -251,7 +251,7 @@
 				failed <- err
 				return
 			}
-			a.loads.take(stream.Context(), news)
+			a.loads.take(news)
 		}
 	}()
 	for {
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -103,7 +103,7 @@
 
 // take passes what a follower declares to the duty; when the ring is full, the
 // follower's next message tells the same or more.
-func (l *loads) take(_ context.Context, news *peerpb.FleetNews) { l.news.Offer(news) }
+func (l *loads) take(news *peerpb.FleetNews) { l.news.Offer(news) }
 
 // see passes a look at the engine to the duty.
 func (l *loads) see(ctx context.Context, report EngineReport, err error) {
--- a/claims/simulation_test.go
+++ b/claims/simulation_test.go
@@ -43,7 +43,7 @@
 	wakeAt      time.Time
 }
 
-// simulatedCall is one submission of a key.
+// simulatedCall is one call with a key.
 type simulatedCall struct {
 	key      keyHash
 	print    uint64
--- a/cmd/zsagent/wire.go
+++ b/cmd/zsagent/wire.go
@@ -9,11 +9,12 @@
 
 	"github.com/zinniaseam/zinniaseam/agent"
 	"github.com/zinniaseam/zinniaseam/platform"
+	"github.com/zinniaseam/zinniaseam/program"
 )
 
 //go:generate wire
 
-func initialize(opts *platform.Options, start time.Time) (*process, error) {
+func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	wire.Build(
 		platform.ProvideSettings, platform.ProvideLines, platform.ProvideLogger,
 		provideEngine, provideOrigin, providePool, provideConfig,
@@ -21,7 +22,7 @@
 		wire.Bind(new(agent.Staging), new(*platform.Engine)),
 		wire.Bind(new(agent.Loader), new(*platform.Engine)),
 		wire.Bind(new(agent.Origin), new(*platform.Origin)),
-		agent.New, wire.Struct(new(process), "*"),
+		agent.New, wire.Bind(new(program.Runner), new(*agent.Agent)), wire.Struct(new(platform.Process), "*"),
 	)
 	return nil, nil
 }
--- a/cmd/zsagent/wire_gen.go
+++ b/cmd/zsagent/wire_gen.go
@@ -14,7 +14,7 @@
 
 // Injectors from wire.go:
 
-func initialize(opts *platform.Options, start time.Time) (*process, error) {
+func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	settings, err := platform.ProvideSettings(opts)
 	if err != nil {
 		return nil, err
@@ -32,12 +32,12 @@
 	if err != nil {
 		return nil, err
 	}
-	mainProcess := &process{
-		agent:    agentAgent,
-		lines:    bounded,
-		options:  opts,
-		settings: settings,
-		logger:   logger,
+	process := &platform.Process{
+		Work:     agentAgent,
+		Lines:    bounded,
+		Options:  opts,
+		Settings: settings,
+		Logger:   logger,
 	}
-	return mainProcess, nil
+	return process, nil
 }
--- a/cmd/zsgateway/main.go
+++ b/cmd/zsgateway/main.go
@@ -1,46 +1,13 @@
 // Command zsgateway is the process on an entry VM of a deployment whose callers
-// speak HTTP. The platform's settings file tells it where it is; its own settings
-// are flags and environment variables.
+// speak HTTP. The platform's settings file tells it where it is; its
+// own settings are flags and environment variables.
 package main
 
 import (
-	"context"
 	"os"
 
-	"github.com/charmbracelet/log"
-
-	"github.com/zinniaseam/zinniaseam/gateway"
-	"github.com/zinniaseam/zinniaseam/logging"
 	"github.com/zinniaseam/zinniaseam/platform"
 	"github.com/zinniaseam/zinniaseam/program"
-	"github.com/zinniaseam/zinniaseam/settings"
 )
 
-func main() { os.Exit(program.Main(parse, initialize)) }
-
-func parse(args []string) (*platform.Options, error) {
-	var o platform.Options
-	set := settings.New("zsgateway", os.Stderr)
-	o.Add(set)
-	if err := set.Parse(args, os.Stdout); err != nil {
-		return nil, err
-	}
-	return &o, nil
-}
-
-// process is the gateway with its log.
-type process struct {
-	gateway  *gateway.Gateway
-	lines    *logging.Bounded
-	options  *platform.Options
-	settings *platform.Settings
-	logger   *log.Logger
-}
-
-// Run implements program.Runner.
-func (p *process) Run(ctx context.Context) error {
-	return p.lines.During(func() error { return p.gateway.Run(ctx) })
-}
-
-// Reload implements program.Reloader.
-func (p *process) Reload() { p.options.Reload(p.settings, p.logger) }
+func main() { os.Exit(program.Main(platform.Parse("zsgateway"), initialize)) }
--- a/cmd/zsgateway/wire.go
+++ b/cmd/zsgateway/wire.go
@@ -11,15 +11,16 @@
 	"github.com/zinniaseam/zinniaseam/gateway"
 	"github.com/zinniaseam/zinniaseam/placement"
 	"github.com/zinniaseam/zinniaseam/platform"
+	"github.com/zinniaseam/zinniaseam/program"
 )
 
 //go:generate wire
 
-func initialize(opts *platform.Options, start time.Time) (*process, error) {
+func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	wire.Build(
 		platform.ProvideSettings, platform.ProvideLines, platform.ProvideLogger, platform.ProvideClock,
 		provideDecoder, provideStore, provideDialect, providePlacement, provideConfig,
-		fleet.NewHolder, placement.New, gateway.New, wire.Struct(new(process), "*"),
+		fleet.NewHolder, placement.New, gateway.New, wire.Bind(new(program.Runner), new(*gateway.Gateway)), wire.Struct(new(platform.Process), "*"),
 	)
 	return nil, nil
 }
--- a/cmd/zsgateway/wire_gen.go
+++ b/cmd/zsgateway/wire_gen.go
@@ -16,7 +16,7 @@
 
 // Injectors from wire.go:
 
-func initialize(opts *platform.Options, start time.Time) (*process, error) {
+func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	settings, err := platform.ProvideSettings(opts)
 	if err != nil {
 		return nil, err
@@ -35,12 +35,12 @@
 	placementConfig := providePlacement(settings)
 	placer := placement.New(placementConfig)
 	gatewayGateway := gateway.New(config, dialect, store, holder, placer, clock, logger)
-	mainProcess := &process{
-		gateway:  gatewayGateway,
-		lines:    bounded,
-		options:  opts,
-		settings: settings,
-		logger:   logger,
+	process := &platform.Process{
+		Work:     gatewayGateway,
+		Lines:    bounded,
+		Options:  opts,
+		Settings: settings,
+		Logger:   logger,
 	}
-	return mainProcess, nil
+	return process, nil
 }
