Slots of an engine are divided among gateways; late calls leave a reserve

Cause: with too few engines left, calls were late whatever the order of the queue. A replay under virtual time (experiment/placing) shows why: gateways that learn of an engine's load 0.2 s later all fill the same slots; 54 of 100 calls then wait over 0.1 s inside engines. Faster news (40 ms) made it worse: gateways chase the same engine. Change: the agent beside an engine divides its slots by what gateways want (slotshare); a gateway refills its own slots without asking. Calls that can't be on time, or that come back, leave free slots for fresh ones; a call that can't be on time any more, or has too many ahead, is turned away at once. Cold bounds follow the division. Ruled out in replays: newest call first (no more worth, more callers turned away twice), more grants than slots (calls queue inside engines again). The replay also shows the limit: 34 gateways of 12 slots each lose a fifth to small parts; fewer placers are the next step.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
@@ -113,6 +114,8 @@
 	news      *peerpb.EngineNews
 	changed   chan struct{}
 	followers int
+	// divider divides the engine's slots among followers.
+	divider *slotshare.Divider
 	// unanswered counts the looks at the engine in a row that had no answer.
 	unanswered int
 }
@@ -122,6 +125,7 @@
 	a := &Agent{
 		config: config, engine: engine, log: logger.WithPrefix("agent"), pool: pool,
 		news: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
+		divider: slotshare.NewDivider(config.EngineAddress),
 	}
 	spreader, err := transfer.New(transfer.Config{
 		Policy: spreadPolicy,
@@ -175,6 +179,7 @@
 			a.engineSeen(report)
 		}
 		a.loads.see(ctx, report, err)
+		a.divide()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -234,30 +239,14 @@
 const newsInterval = 200 * time.Millisecond
 
 // Follow implements peerpb.AgentServer.
-func (a *Agent) Follow(stream grpc.BidiStreamingServer[peerpb.FleetNews, peerpb.EngineNews]) error {
-	a.mu.Lock()
-	a.followers++
-	a.mu.Unlock()
-	defer func() {
-		a.mu.Lock()
-		a.followers--
-		a.mu.Unlock()
-	}()
+func (a *Agent) Follow(stream grpc.BidiStreamingServer[peerpb.GatewayNews, peerpb.EngineNews]) error {
+	f := &follower{agent: a}
+	f.join()
+	defer f.leave()
 	failed := make(chan error, 1)
-	go func() {
-		for {
-			news, err := stream.Recv()
-			if err != nil {
-				failed <- err
-				return
-			}
-			a.loads.take(news)
-		}
-	}()
+	go func() { failed <- f.receive(stream) }()
 	for {
-		a.mu.Lock()
-		news, changed := a.news, a.changed
-		a.mu.Unlock()
+		news, changed := f.news()
 		if err := stream.Send(news); err != nil {
 			return err
 		}
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -50,7 +50,7 @@
 
 func provideConfig(o *platform.Options, s *platform.Settings) gateway.Config {
 	return gateway.Config{
-		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
+		Name: s.VM, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
 		KeyLife: s.Bounds.KeyRevocation - keyMargin, DeclaredLife: s.Bounds.ConfigInForce + 2*watchWait(s.Bounds),
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetryBurst: max(s.Bounds.RetrySlack*budgetShare, 1),
 		MetricsListen: o.MetricsListen(s),
--- a/cmd/zsload/experiment.go
+++ b/cmd/zsload/experiment.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaseam/zinniaseam/experiment"
 	_ "github.com/zinniaseam/zinniaseam/experiment/capacity"
 	_ "github.com/zinniaseam/zinniaseam/experiment/claiming"
+	_ "github.com/zinniaseam/zinniaseam/experiment/placing"
 	_ "github.com/zinniaseam/zinniaseam/experiment/serving"
 	_ "github.com/zinniaseam/zinniaseam/experiment/spreading"
 	"github.com/zinniaseam/zinniaseam/settings"
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -19,15 +21,25 @@
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 const (
 	// agentRetry is the wait before an agent is followed again.
 	agentRetry = 300 * time.Millisecond
+	// wantInterval is how often agents are told what this process wants of their
+	// engines; a slot is in use for about a second.
+	wantInterval = 200 * time.Millisecond
+	// wantRepeat is how often an agent is told what has not changed.
+	wantRepeat = time.Second
+	// wantChange is the relative change of a want that is told at once.
+	wantChange = 0.15
 )
 
 // agents follows the agents beside all engines of the deployment.
 type agents struct {
+	// name is that of this process.
+	name      string
 	pool      *peers.Pool
 	port      int
 	regions   map[core.ZoneID]core.RegionID
@@ -42,11 +54,20 @@
 // followed is one engine whose agent is followed.
 type followed struct {
 	cancel context.CancelFunc
-	// news is what the agent is told, changed is closed when it is replaced.
+	// news and want are what the agent is told, changed is closed when one of them
+	// is replaced.
 	news    *peerpb.FleetNews
+	want    *peerpb.SlotWant
+	wantAt  time.Time
 	changed chan struct{}
 }
 
+// wake tells the sender of a change; the lock must be held.
+func (f *followed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // run follows agents until ctx ends.
 func (a *agents) run(ctx context.Context) error {
 	a.mu.Lock()
@@ -81,8 +102,7 @@
 		}
 		if !proto.Equal(f.news, news) {
 			f.news = news
-			close(f.changed)
-			f.changed = make(chan struct{})
+			f.wake()
 		}
 	}
 }
@@ -107,7 +127,7 @@
 }
 
 func (a *agents) newsOf(view *fleet.View, profile *catalogue.EngineProfile, engines []*fleet.Endpoint) *peerpb.FleetNews {
-	news := &peerpb.FleetNews{Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes)}
+	news := &peerpb.FleetNews{Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
 	news.Model, news.Version = view.Intended(engines[0].Service, profile)
 	for _, backend := range view.Deployment.Services {
 		if backend.Origin != "" {
@@ -154,21 +174,7 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		for {
-			a.mu.Lock()
-			news, changed := f.news, f.changed
-			a.mu.Unlock()
-			if stream.Send(news) != nil {
-				return // the receiving side reports the error
-			}
-			select {
-			case <-changed:
-			case <-stream.Context().Done():
-				return
-			}
-		}
-	}()
+	go a.tell(stream, f)
 	for {
 		news, err := stream.Recv()
 		if err != nil {
@@ -183,11 +189,65 @@
 	}
 }
 
+// tell sends what changes until the stream ends; the receiving side reports why.
+func (a *agents) tell(stream grpc.BidiStreamingClient[peerpb.GatewayNews, peerpb.EngineNews], f *followed) {
+	var told *peerpb.FleetNews
+	for {
+		a.mu.Lock()
+		message, changed := &peerpb.GatewayNews{Gateway: a.name, Want: f.want}, f.changed
+		if f.news != told {
+			message.Fleet, told = f.news, f.news
+		}
+		a.mu.Unlock()
+		if stream.Send(message) != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-stream.Context().Done():
+			return
+		}
+	}
+}
+
+// tellWants tells agents what this process wants of their engines until ctx ends.
+func (a *agents) tellWants(ctx context.Context) error {
+	ticker := time.NewTicker(wantInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			a.setWants(a.scheduler.wants())
+		}
+	}
+}
+
+func (a *agents) setWants(wants map[string]slotshare.Want) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for address, f := range a.current {
+		want, known := wants[address]
+		if !known || f.want != nil && !wantChanged(f.want, want) && now.Sub(f.wantAt) < wantRepeat {
+			continue
+		}
+		f.want, f.wantAt = &peerpb.SlotWant{Calls: float32(want.Calls), Open: uint32(want.Open)}, now
+		f.wake()
+	}
+}
+
+func wantChanged(told *peerpb.SlotWant, want slotshare.Want) bool {
+	return int(told.GetOpen()) != want.Open || math.Abs(float64(told.GetCalls())-want.Calls) > wantChange*want.Calls
+}
+
 func (s *scheduler) engineNews(news *peerpb.EngineNews) {
 	s.update(func(p *placement.Placer, now boottime.Instant) {
 		lost := p.EngineNews(placement.EngineNews{
 			Address: news.GetEngine(), Boot: news.GetBoot(), Running: int(news.GetRunning()), Waiting: int(news.GetWaiting()),
 			Loading: news.GetLoading(), Version: news.GetVersion(), Unreachable: news.GetUnreachable(), At: now,
+			Granted: grantedSlots(news),
 		})
 		for _, ticket := range lost {
 			if abandon, open := s.open[ticket]; open {
@@ -196,3 +256,12 @@
 		}
 	})
 }
+
+// grantedSlots returns the slots that an agent lets this process fill, negative
+// when it has not divided them.
+func grantedSlots(news *peerpb.EngineNews) int {
+	if !news.GetDivided() {
+		return -1
+	}
+	return int(news.GetGranted())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,8 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Name is that of the VM.
+	Name         core.VMID
 	CallerListen string
 	ReadyListen  string
 	// AgentPort is the port of agents, on the IP numbers of their engines.
@@ -85,6 +87,7 @@
 		log: logger.WithPrefix("gateway"), now: now,
 	}
 	g.agents = &agents{
+		name: string(config.Name),
 		pool: peers.NewPool("", peers.Security{}), port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*followed{},
 	}
@@ -123,6 +126,7 @@
 	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, g.config.MetricsListen, g.log) })
 	process.AddDuty("placement", g.scheduler.run)
 	process.AddDuty("agents", g.agents.run)
+	process.AddDuty("wants", g.agents.tellWants)
 	process.AddDuty("sweep", g.sweep)
 	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
 	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 // pumpInterval is how often waiting calls are looked at when nothing else happens.
@@ -137,6 +138,13 @@
 	})
 }
 
+// wants returns what this process would like to run at each engine.
+func (s *scheduler) wants() map[string]slotshare.Want {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Wants(s.now())
+}
+
 func (s *scheduler) report(id fleet.EndpointID, report placement.Report) {
 	s.update(func(p *placement.Placer, _ boottime.Instant) { p.Report(id, report) })
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -96,24 +96,26 @@
 	if now.Before(e.closedUntil) {
 		return false
 	}
-	calls, _ := e.load(now)
-	extra := plainQueue
-	if e.profile != nil {
-		extra = engineQueue
-	}
-	if calls >= e.Slots+extra {
+	if e.full(now) {
 		return false
 	}
 	return !p.coldFull(now, e)
 }
 
-// coldFull reports whether a cold endpoint had this process's share of calls in
+// coldFull reports whether an endpoint, which may turn cold at any moment, had this process's share of calls in
 // the last second.
 func (p *Placer) coldFull(now boottime.Instant, e *endpointState) bool {
 	if e.backend == nil || e.backend.ColdRate <= 0 {
 		return false
 	}
-	bound := (e.backend.ColdRate*p.config.ColdOver + p.config.ColdSlack) * p.config.ColdShare
+	share := p.config.ColdShare
+	if e.divided(now) {
+		if e.news.Granted == 0 {
+			return true
+		}
+		share = float64(e.news.Granted) / float64(e.Slots)
+	}
+	bound := (e.backend.ColdRate*p.config.ColdOver + p.config.ColdSlack) * share
 	return e.cold.count(now) >= max(int(bound), 1)
 }
 
--- /dev/null
+++ b/placement/demand.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/slotshare"
+)
+
+// demandTime is the time constant of the mean rate of arrivals: about two calls
+// long, so that a gateway's part of the slots follows its load within seconds.
+const demandTime = 2 * time.Second
+
+// demand is the rate of arrivals for one service.
+type demand struct {
+	perSecond float64
+	at        boottime.Instant
+}
+
+// rate returns the mean of the last seconds.
+func (d *demand) rate(now boottime.Instant) float64 {
+	return d.perSecond * math.Exp(-now.Sub(d.at).Seconds()/demandTime.Seconds())
+}
+
+func (d *demand) add(now boottime.Instant) {
+	d.perSecond = d.rate(now) + 1/demandTime.Seconds()
+	d.at = now
+}
+
+func (p *Placer) demandFor(service core.ServiceID) *demand {
+	d := p.demand[service]
+	if d == nil {
+		d = &demand{}
+		p.demand[service] = d
+	}
+	return d
+}
+
+// Wants returns what this process would like to run at each engine, by its address.
+func (p *Placer) Wants(now boottime.Instant) map[string]slotshare.Want {
+	wants := map[string]slotshare.Want{}
+	for service, list := range p.byService {
+		var engines []*endpointState
+		var callTime time.Duration
+		for _, e := range list {
+			if e.profile != nil && p.usable(now, e) {
+				engines = append(engines, e)
+				callTime += e.usualCall()
+			}
+		}
+		if len(engines) == 0 {
+			continue
+		}
+		callTime /= time.Duration(len(engines))
+		calls := p.demandFor(service).rate(now) * callTime.Seconds() / float64(len(engines))
+		for _, e := range engines {
+			wants[e.Address] = slotshare.Want{Calls: calls, Open: len(e.open)}
+		}
+	}
+	return wants
+}
+
+// usable reports whether an endpoint may take new calls now.
+func (p *Placer) usable(now boottime.Instant, e *endpointState) bool {
+	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.news.Unreachable && !e.health.avoided(now) &&
+		(e.profile == nil || p.servable(now, e))
+}
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -30,7 +30,10 @@
 	Version int64
 	// Unreachable says that the engine did not answer its agent.
 	Unreachable bool
-	At          boottime.Instant
+	// Granted is how many slots this process may fill, by the agent's division
+	// among gateways; negative when the agent has not divided them.
+	Granted int
+	At      boottime.Instant
 }
 
 // newsLife is how long news of an agent goes before the endpoint's own entry;
@@ -193,3 +196,44 @@
 	usual := e.usualCall()
 	e.callTime = usual + time.Duration(callTimeShare*float64(took-usual))
 }
+
+// spareShare is the part of its slots up to which an engine takes calls of
+// gateways that own no free slot.
+const spareShare = 0.7
+
+// full reports whether the endpoint has no slot for another call of this process.
+func (e *endpointState) full(now boottime.Instant) bool {
+	calls, age := e.load(now)
+	switch {
+	case e.profile == nil:
+		return calls >= e.Slots+plainQueue
+	case !e.divided(now):
+		return calls >= e.Slots+engineQueue
+	case len(e.open) < e.news.Granted:
+		return false
+	default:
+		return age < 0 || float64(calls) >= spareShare*float64(e.Slots)
+	}
+}
+
+// divided reports whether the agent divides the engine's slots among gateways.
+func (e *endpointState) divided(now boottime.Instant) bool {
+	return e.news.At != 0 && now.Sub(e.news.At) < newsLife && e.news.Granted >= 0
+}
+
+// own returns how many slots this process fills or may fill.
+func (e *endpointState) own(now boottime.Instant) int {
+	if e.divided(now) {
+		return max(e.news.Granted, len(e.open))
+	}
+	return len(e.open)
+}
+
+// free returns how many slots this process may fill now.
+func (e *endpointState) free(now boottime.Instant) int {
+	if e.divided(now) {
+		return e.own(now) - len(e.open)
+	}
+	calls, _ := e.load(now)
+	return max(e.Slots-calls, 0)
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -58,6 +58,8 @@
 	// declared are the weights of each model, in the order in which this process
 	// learned of them.
 	declared map[string][]declaredVersion
+	// demand is what comes for each service.
+	demand map[core.ServiceID]*demand
 }
 
 type declaredVersion struct {
@@ -70,6 +72,7 @@
 	return &Placer{
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, declared: map[string][]declaredVersion{},
+		demand: map[core.ServiceID]*demand{},
 	}
 }
 
@@ -153,7 +156,8 @@
 // Submit takes a request and decides on it at once, or lets it wait.
 func (p *Placer) Submit(now boottime.Instant, request Request) *Ticket {
 	ticket := &Ticket{Request: request, arrived: now}
-	p.decide(now, ticket)
+	p.demandFor(request.Service).add(now)
+	p.decide(now, ticket, p.waitingOnTime(now, request.Service))
 	if ticket.decision.Verdict == Wait {
 		if len(p.queue) >= queueBound {
 			p.reject(now, ticket, core.ReasonOverloaded)
@@ -164,6 +168,17 @@
 	return ticket
 }
 
+// waitingOnTime counts the waiting calls of a service that can be on time.
+func (p *Placer) waitingOnTime(now boottime.Instant, service core.ServiceID) int {
+	count := 0
+	for _, ticket := range p.queue {
+		if ticket.Request.Service == service && p.classOf(now, ticket) == classOnTime {
+			count++
+		}
+	}
+	return count
+}
+
 // Pump decides anew on the waiting requests and returns those with a verdict.
 func (p *Placer) Pump(now boottime.Instant) []*Ticket {
 	if len(p.queue) == 0 {
@@ -171,11 +186,14 @@
 	}
 	slices.SortStableFunc(p.queue, func(a, b *Ticket) int { return p.compare(now, a, b) })
 	var decided []*Ticket
+	ahead := map[core.ServiceID]int{}
 	waiting := p.queue[:0]
 	for _, ticket := range p.queue {
-		p.decide(now, ticket)
+		service := ticket.Request.Service
+		p.decide(now, ticket, ahead[service])
 		if ticket.decision.Verdict == Wait {
 			waiting = append(waiting, ticket)
+			ahead[service]++
 			continue
 		}
 		decided = append(decided, ticket)
@@ -185,18 +203,18 @@
 	return decided
 }
 
-// decide sets the verdict on a request.
-func (p *Placer) decide(now boottime.Instant, ticket *Ticket) {
+// decide sets the verdict on a request that has so many calls ahead of it.
+func (p *Placer) decide(now boottime.Instant, ticket *Ticket, ahead int) {
 	request := &ticket.Request
 	ticket.decision = Decision{Verdict: Wait, Waited: now.Sub(ticket.arrived)}
 	best, expected, able := p.best(now, request)
 	ticket.decision.Candidates = able
 	switch {
-	case best != nil:
+	case best != nil && (best.profile == nil || !p.reserved(now, ticket)):
 		p.place(now, ticket, best, expected)
 	case able == 0 && !p.mayCome(request):
 		p.reject(now, ticket, core.ReasonNoEndpoint)
-	case p.hopeless(now, ticket):
+	case p.hopeless(now, ticket, ahead):
 		p.reject(now, ticket, core.ReasonOverloaded)
 	}
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -23,9 +23,6 @@
 
 // classOf returns the class of a waiting call. A call is late as soon as no
 // endpoint could begin its answer in time.
-//
-// Load pattern answered: arrivals exceed what can be begun, for seconds. In the
-// order of their deadlines all calls would be begun just too late.
 func (p *Placer) classOf(now boottime.Instant, t *Ticket) class {
 	switch {
 	case t.Request.Continues:
@@ -57,7 +54,7 @@
 	return e.passTime(e.Slots)*3/2 + e.readTime(t.Request.PromptTokens+e.profile.UsualPrompt) + answerSlack
 }
 
-// compare puts first what can still be on time, and of it what came first.
+// compare puts first what can still be on time, and of it what is due first.
 func (p *Placer) compare(now boottime.Instant, a, b *Ticket) int {
 	return cmp.Or(
 		cmp.Compare(a.Request.Priority, b.Request.Priority),
@@ -67,49 +64,71 @@
 }
 
 const (
-	// lateWait is how long a call waits for a place that can only be answered late,
-	// beyond the time in which it could be on time. Longer queues make the calls
-	// behind them late as well, at no gain in calls answered.
-	lateWait = 150 * time.Millisecond
-	// returnedWait is the same for a caller that was turned away before, and for one
-	// that has a part of the answer. Callers leave when they have seen no event for
-	// 2 s or somewhat more.
+	// returnedWait is how long a caller waits for a place that was turned away
+	// before, or that has a part of the answer. Callers leave when they have seen no
+	// event for 2 s or somewhat more.
 	returnedWait = 1200 * time.Millisecond
-	// waitShare bounds both by the time that the caller has.
+	// waitShare bounds each wait by the time that the caller has.
 	waitShare = 0.3
 )
 
-// hopeless reports whether a waiting request is better turned away.
-func (p *Placer) hopeless(now boottime.Instant, ticket *Ticket) bool {
+// hopeless reports whether a waiting request is better turned away: it can't be
+// on time any more, or those ahead of it take all the time that it has.
+//
+// Load pattern answered: arrivals exceed what can be begun, for seconds. Calls
+// that waited on would each make the one behind them late, until all are late;
+// those turned away at once can come back when there is room.
+func (p *Placer) hopeless(now boottime.Instant, ticket *Ticket, ahead int) bool {
 	request := &ticket.Request
-	most := returnedWait
-	if !request.Returned && !request.Continues {
-		most = request.OnTimeBy.Sub(ticket.arrived) - p.soonest(ticket) + lateWait
+	waited := now.Sub(ticket.arrived)
+	if waited > time.Duration(waitShare*float64(request.Deadline.Sub(ticket.arrived))) {
+		return true
 	}
-	most = min(max(most, lateWait), time.Duration(waitShare*float64(request.Deadline.Sub(ticket.arrived))))
-	return now.Sub(ticket.arrived) > most || p.behind(ticket) > p.slots(request)
+	if request.Returned || request.Continues {
+		return waited > returnedWait
+	}
+	left := request.OnTimeBy.Sub(now) - p.soonest(ticket)
+	return left <= 0 || float64(ahead) > p.startsPerSecond(now, request.Service)*left.Seconds()
 }
 
-// behind returns how many calls wait before this one.
-func (p *Placer) behind(ticket *Ticket) int {
-	ahead := 0
-	for _, other := range p.queue {
-		if other == ticket {
-			break
-		}
-		if other.Request.Service == ticket.Request.Service {
-			ahead++
+// leastStarts is the rate at which calls are begun at the least while none runs
+// that would tell it.
+const leastStarts = 10.0
+
+// startsPerSecond returns how many calls of a service this process can begin in
+// a second while all slots are in use.
+func (p *Placer) startsPerSecond(now boottime.Instant, service core.ServiceID) float64 {
+	starts := 0.0
+	for _, e := range p.byService[service] {
+		if p.usable(now, e) {
+			starts += float64(e.own(now)) / e.usualCall().Seconds()
 		}
 	}
-	return ahead
+	return max(starts, leastStarts)
 }
 
-func (p *Placer) slots(request *Request) int {
-	slots := 0
-	for _, e := range p.byService[request.Service] {
-		slots += e.Slots
+// reserveTime is how many of its free slots, in arrivals of so much time, a
+// process keeps for calls that can be on time. In this time about one slot in
+// ten becomes free.
+const reserveTime = 130 * time.Millisecond
+
+// reserved reports whether the free slots are kept for calls that can be on time.
+//
+// Load pattern answered: callers return while fresh calls fill all slots. Calls
+// that can only be late would take each slot that is free for a moment, and the
+// fresh call after them would wait until it is late as well.
+func (p *Placer) reserved(now boottime.Instant, ticket *Ticket) bool {
+	if p.classOf(now, ticket) == classOnTime {
+		return false
+	}
+	service := ticket.Request.Service
+	free := 0
+	for _, e := range p.byService[service] {
+		if p.usable(now, e) {
+			free += e.free(now)
+		}
 	}
-	return slots
+	return float64(free) < p.demandFor(service).rate(now)*reserveTime.Seconds()
 }
 
 // Bounds of the time that a rejected caller is asked to stay away.
--- /dev/null
+++ b/slotshare/slotshare_test.go
@@ -0,0 +1,128 @@
+package slotshare_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/slotshare"
+)
+
+const slots = 16
+
+var start = boottime.Instant(time.Hour)
+
+func granted(d *slotshare.Divider, gateway string) int {
+	n, _ := d.Granted(gateway)
+	return n
+}
+
+func TestSlotsFollowWhatGatewaysWant(t *testing.T) {
+	g := NewWithT(t)
+	d := slotshare.NewDivider("e")
+	d.SetSlots(slots)
+	d.Take(start, "busy", slotshare.Want{Calls: 9})
+	d.Take(start, "calm", slotshare.Want{Calls: 3})
+	d.Divide(start)
+	g.Expect(granted(d, "busy")).To(BeNumerically("~", 12, 1))
+	g.Expect(granted(d, "busy") + granted(d, "calm")).To(Equal(slots))
+}
+
+func TestASlotMovesWhenTheCallInItHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	d := slotshare.NewDivider("e")
+	d.SetSlots(slots)
+	d.Take(start, "a", slotshare.Want{Calls: 16, Open: 16})
+	d.Divide(start)
+	g.Expect(granted(d, "a")).To(Equal(slots))
+	d.Take(start, "b", slotshare.Want{Calls: 16})
+	d.Divide(start)
+	g.Expect(granted(d, "b")).To(BeZero(), "all slots are in use")
+	d.Take(start, "a", slotshare.Want{Calls: 16, Open: 11})
+	d.Divide(start)
+	g.Expect(granted(d, "b")).To(Equal(5))
+}
+
+func TestAGatewayThatSaysNothingLosesItsSlots(t *testing.T) {
+	g := NewWithT(t)
+	d := slotshare.NewDivider("e")
+	d.SetSlots(slots)
+	d.Take(start, "frozen", slotshare.Want{Calls: 8, Open: 8})
+	d.Take(start, "a", slotshare.Want{Calls: 8})
+	d.Divide(start)
+	later := start.Add(4 * time.Second)
+	d.Take(later, "a", slotshare.Want{Calls: 8})
+	g.Expect(d.Divide(later)).To(BeTrue())
+	g.Expect(granted(d, "a")).To(Equal(slots))
+	_, counted := d.Granted("frozen")
+	g.Expect(counted).To(BeFalse())
+}
+
+func TestSmallChangesMoveNoSlot(t *testing.T) {
+	g := NewWithT(t)
+	d := slotshare.NewDivider("e")
+	d.SetSlots(slots)
+	d.Take(start, "a", slotshare.Want{Calls: 5})
+	d.Take(start, "b", slotshare.Want{Calls: 5})
+	d.Divide(start)
+	d.Take(start, "a", slotshare.Want{Calls: 5.9})
+	g.Expect(d.Divide(start)).To(BeFalse())
+}
+
+func TestEachGatewayGetsSomeSlotOfManyEngines(t *testing.T) {
+	g := NewWithT(t)
+	got := map[string]int{}
+	for engine := range 52 {
+		d := slotshare.NewDivider(fmt.Sprint("e", engine))
+		d.SetSlots(12)
+		for gateway := range 34 {
+			d.Take(start, fmt.Sprint("g", gateway), slotshare.Want{Calls: 0.3})
+		}
+		d.Divide(start)
+		for gateway := range 34 {
+			got[fmt.Sprint("g", gateway)] += granted(d, fmt.Sprint("g", gateway))
+		}
+	}
+	for gateway := range 34 {
+		g.Expect(got[fmt.Sprint("g", gateway)]).To(BeNumerically(">=", 6), "a third of an even part")
+	}
+}
+
+// Whatever gateways say, no more slots are granted or known to be in use than
+// there are, but for those that gateways fill beyond their grants.
+func TestNeverMoreSlotsAreGrantedThanThereAre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := slotshare.NewDivider("e")
+		d.SetSlots(slots)
+		now := start
+		open := map[string]int{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprint("g", rapid.IntRange(0, 8).Draw(t, "gateway"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				open[name] = rapid.IntRange(0, granted(d, name)).Draw(t, "open")
+				d.Take(now, name, slotshare.Want{Calls: rapid.Float64Range(0, 20).Draw(t, "calls"), Open: open[name]})
+			case 2:
+				d.Remove(name)
+				delete(open, name)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			}
+			d.Divide(now)
+			total := 0
+			for gateway := range 9 {
+				name := fmt.Sprint("g", gateway)
+				if n, counted := d.Granted(name); counted {
+					total += max(n, open[name])
+				}
+			}
+			if total > slots {
+				t.Fatalf("%d slots granted or in use of %d", total, slots)
+			}
+		}
+	})
+}
