--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,19 +47,6 @@
 	Expect(manifest *core.Manifest)
 }
 
-// Manifests is where manifests come from.
-type Manifests interface {
-	Manifest(ctx context.Context, version core.VersionID) (*core.Manifest, error)
-}
-
-// Origin is the origin of weights.
-type Origin interface {
-	transfer.Origin
-	Manifests
-	// SetAddress names the origin.
-	SetAddress(address string)
-}
-
 // Config configures an Agent.
 type Config struct {
 	// EngineAddress names the engine, and this machine.
@@ -70,8 +57,9 @@
 	Listen string
 	// PeerPort is the port of other agents, on the IP numbers of their engines.
 	PeerPort int
-	// UploadRate is what weights may use of the VM's link, in bytes a second.
-	UploadRate int64
+	// UploadRate is what weights may use of the VM's link, in bytes a second, and
+	// FetchRate what one chunk under way to it may use.
+	UploadRate, FetchRate int64
 	// SwitchTime is how long after a declaration the last engine must have changed.
 	SwitchTime  time.Duration
 	StopTimeout time.Duration
@@ -111,9 +99,10 @@
 
 	mu sync.Mutex
 	// news is what followers are told, changed is closed when it is replaced.
-	news      *peerpb.EngineNews
-	changed   chan struct{}
-	followers int
+	news    *peerpb.EngineNews
+	changed chan struct{}
+	// followers are the gateways that follow the agent.
+	followers map[*follower]struct{}
 	// divider divides the engine's slots among followers.
 	divider *slotshare.Divider
 	// unanswered counts the looks at the engine in a row that had no answer.
@@ -121,17 +110,17 @@
 }
 
 // New joins the parts of an agent.
-func New(config Config, engine Engine, staging Staging, loader Loader, origin Origin, pool *peers.Pool, logger *log.Logger) (*Agent, error) {
+func New(config Config, engine Engine, staging Staging, loader Loader, origin transfer.WeightSource, pool *peers.Pool, logger *log.Logger) (*Agent, error) {
 	a := &Agent{
 		config: config, engine: engine, log: logger.WithPrefix("agent"), pool: pool,
 		news: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
-		divider: slotshare.NewDivider(config.EngineAddress),
+		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
 	}
 	spreader, err := transfer.New(transfer.Config{
 		Policy: spreadPolicy,
 		Self:   spreadSelf(config),
-		Origin: origin, Staging: staging, Dial: a.dial, Logger: logger, RegionRate: regionRate,
-		UploadRate: config.UploadRate, PartBytes: partBytes, UploadSlots: uploadSlots,
+		Origin: origin, Staging: staging, Dial: a.dial, Logger: logger, RegionRate: transfer.UsualRegionRate,
+		UploadRate: config.UploadRate, FetchRate: config.FetchRate, PartBytes: partBytes, UploadSlots: uploadSlots,
 	})
 	if err != nil {
 		return nil, err
@@ -210,7 +199,7 @@
 	}
 	next := &peerpb.EngineNews{
 		Engine: a.config.EngineAddress, Boot: report.Boot, Running: uint32(report.Running), Waiting: uint32(report.Waiting),
-		Loading: report.Loading, Version: wholeVersion(report, a.loads.layers()), Followers: uint32(a.followers),
+		Loading: report.Loading, Version: wholeVersion(report, a.loads.layers()),
 	}
 	if !sameNews(a.news, next) {
 		a.tell(next)
@@ -224,8 +213,7 @@
 
 func sameNews(a, b *peerpb.EngineNews) bool {
 	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetRunning() == b.GetRunning() &&
-		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion() &&
-		a.GetFollowers() == b.GetFollowers()
+		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion()
 }
 
 // tell replaces the news; the lock must be held.
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"maps"
+	"slices"
+
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
@@ -14,23 +17,46 @@
 	agent *Agent
 	// gateway is its name, known from its first message.
 	gateway string
+	// relay is the gateway as a machine that holds chunks, nil when it does not.
+	relay *peerpb.FleetMember
 }
 
 func (f *follower) join() {
 	f.agent.mu.Lock()
 	defer f.agent.mu.Unlock()
-	f.agent.followers++
+	f.agent.followers[f] = struct{}{}
 }
 
 // leave forgets the gateway. When it follows by a newer stream already, its next
 // message counts it again.
 func (f *follower) leave() {
-	f.agent.mu.Lock()
-	defer f.agent.mu.Unlock()
-	f.agent.followers--
+	a := f.agent
+	a.mu.Lock()
+	delete(a.followers, f)
 	if f.gateway != "" {
-		f.agent.divider.Remove(f.gateway)
+		a.divider.Remove(f.gateway)
 	}
+	if f.relay != nil {
+		a.tell(a.news)
+	}
+	relays := a.relays()
+	a.mu.Unlock()
+	a.loads.takeRelays(relays)
+}
+
+// relays lists the followers that hold chunks; the lock must be held.
+func (a *Agent) relays() []*peerpb.FleetMember {
+	byAddress := map[string]*peerpb.FleetMember{}
+	for f := range a.followers {
+		if f.relay != nil {
+			byAddress[f.relay.GetAddress()] = f.relay
+		}
+	}
+	relays := make([]*peerpb.FleetMember, 0, len(byAddress))
+	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
+		relays = append(relays, byAddress[address])
+	}
+	return relays
 }
 
 // receive takes what the gateway tells until the stream ends.
@@ -43,6 +69,9 @@
 		if fleet := message.GetFleet(); fleet != nil {
 			f.agent.loads.take(fleet)
 		}
+		if manifest := message.GetManifest(); manifest != nil {
+			f.agent.loads.takeManifest(stream.Context(), manifest)
+		}
 		f.take(message)
 	}
 }
@@ -50,7 +79,6 @@
 func (f *follower) take(message *peerpb.GatewayNews) {
 	a := f.agent
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	f.gateway = message.GetGateway()
 	if slots := message.GetFleet().GetSlots(); slots > 0 {
 		a.divider.SetSlots(int(slots))
@@ -58,6 +86,16 @@
 	if want := message.GetWant(); want != nil {
 		a.divider.Take(boottime.Now(), f.gateway, slotshare.Want{Calls: float64(want.GetCalls()), Open: int(want.GetOpen())})
 	}
+	changed := !proto.Equal(f.relay, message.GetRelay())
+	f.relay = message.GetRelay()
+	if changed {
+		a.tell(a.news)
+	}
+	relays := a.relays()
+	a.mu.Unlock()
+	if changed {
+		a.loads.takeRelays(relays)
+	}
 }
 
 // news returns what the gateway is to be told, and a channel that is closed when
@@ -70,6 +108,7 @@
 	if granted, counted := a.divider.Granted(f.gateway); counted {
 		news.Divided, news.Granted = true, uint32(granted)
 	}
+	news.Relays = a.relays()
 	return news, a.changed
 }
 
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -12,7 +12,6 @@
 	"github.com/zinniaseam/zinniaseam/activation"
 	"github.com/zinniaseam/zinniaseam/adapters/engine"
 	"github.com/zinniaseam/zinniaseam/core"
-	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/ring"
 	"github.com/zinniaseam/zinniaseam/rollout"
@@ -30,17 +29,15 @@
 	loadTimeout = 15 * time.Second
 	// stagingTimeout bounds the reading of all staged chunks.
 	stagingTimeout = 5 * time.Second
-	// manifestRetry is the wait between two tries to read a manifest.
-	manifestRetry = 150 * time.Millisecond
 	// retryWait is the wait after a load order or a check that failed.
 	retryWait = 100 * time.Millisecond
+	// toldWait is how long a manifest is waited for that gateways are reading: a
+	// few round trips to the origin.
+	toldWait = 500 * time.Millisecond
 	// eventRing is how many results wait for the duty.
 	eventRing = 64
 	// newsRing is how many declarations of followers wait for the duty.
 	newsRing = 64
-	// regionRate is what weights may use of the link between two regions, in bytes
-	// a second: five sixths of 25 Mbit/s; live requests need about a twentieth.
-	regionRate = 2_600_000
 )
 
 // loads brings the engine to the declared version. One goroutine owns its
@@ -50,24 +47,24 @@
 	spreader *transfer.Spreader
 	staging  Staging
 	loader   Loader
-	origin   Origin
+	origin   transfer.WeightSource
 	log      *log.Logger
 	events   *ring.Ring[activation.Event]
 	news     *ring.Ring[*peerpb.FleetNews]
+	relays   *ring.Ring[[]*peerpb.FleetMember]
 	// layerCount is how many layers the model has.
 	layerCount atomic.Int32
 
 	// Owned by the duty.
 	machine  *activation.Machine
 	declared *peerpb.FleetNews
-	members  []spread.Member
-	// pending are the declared versions that the engine does not serve yet, oldest first.
-	pending []*pendingVersion
+	// engines are the machines that are to serve the same weights, relays those
+	// that hold chunks for them.
+	engines, relayMembers []spread.Member
+	versions              rollout.Tracker
 	// revision numbers what the machine is told to bring about.
 	revision uint64
-	// chosen is the version that is staged, wanted the target that the spreader
-	// was told of.
-	chosen *pendingVersion
+	// wanted is the target that the spreader was told of.
 	wanted activation.Target
 	// held is the version that the engine reports, boot its start.
 	held int64
@@ -76,24 +73,11 @@
 	changedAt time.Time
 }
 
-// pendingVersion is a declared version that the engine does not serve yet.
-type pendingVersion struct {
-	number     int64
-	id         core.VersionID
-	declaredAt time.Time
-	manifest   *core.Manifest
-	reading    bool
-	// staged is how many chunks there are, firstChunk and lastChunk when it grew.
-	staged int
-	// stagedSince is when the version was last chosen.
-	stagedSince           time.Time
-	firstChunk, lastChunk time.Time
-}
-
-func newLoads(config Config, spreader *transfer.Spreader, staging Staging, loader Loader, origin Origin, logger *log.Logger) *loads {
+func newLoads(config Config, spreader *transfer.Spreader, staging Staging, loader Loader, origin transfer.WeightSource, logger *log.Logger) *loads {
 	return &loads{
 		config: config, spreader: spreader, staging: staging, loader: loader, origin: origin, log: logger.WithPrefix("loads"),
 		events: ring.New[activation.Event](eventRing), news: ring.New[*peerpb.FleetNews](newsRing),
+		relays:  ring.New[[]*peerpb.FleetMember](newsRing),
 		machine: activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + time.Second, CallTimeout: stagingTimeout, RetryWait: retryWait}),
 	}
 }
@@ -105,6 +89,24 @@
 // follower's next message tells the same or more.
 func (l *loads) take(news *peerpb.FleetNews) { l.news.Offer(news) }
 
+// takeManifest passes a manifest that a gateway has read to the duty.
+func (l *loads) takeManifest(ctx context.Context, told *peerpb.DeclaredManifest) {
+	if len(told.GetWhole()) != len(core.Digest{}) {
+		l.log.Warn("A manifest with a bad digest is left out.", "version", told.GetVersion(), "bytes", len(told.GetWhole()))
+		return
+	}
+	manifest, err := transfer.DecodeManifest(core.VersionID(told.GetVersion()), core.Digest(told.GetWhole()), told.GetManifest())
+	if err != nil {
+		l.log.Warn("A manifest can't be used and is left out.", "version", told.GetVersion(), "err", err)
+		return
+	}
+	l.report(ctx, manifestTold{manifest: manifest})
+}
+
+// takeRelays passes the relays that follow the agent to the duty; when the ring is
+// full, the next change tells all of them.
+func (l *loads) takeRelays(relays []*peerpb.FleetMember) { l.relays.Offer(relays) }
+
 // see passes a look at the engine to the duty.
 func (l *loads) see(ctx context.Context, report EngineReport, err error) {
 	if err != nil {
@@ -120,10 +122,16 @@
 	report EngineReport
 }
 
+// manifestTold is a manifest that a gateway has read.
+type manifestTold struct {
+	activation.Tick
+	manifest *core.Manifest
+}
+
 // manifestRead is the end of reading a manifest.
 type manifestRead struct {
 	activation.Tick
-	of *pendingVersion
+	of *rollout.Tracked
 	// manifest is nil when it could not be read.
 	manifest *core.Manifest
 }
@@ -141,6 +149,9 @@
 			return ctx.Err()
 		case news := <-l.news.Items():
 			l.declare(news)
+		case relays := <-l.relays.Items():
+			l.relayMembers = transfer.Members(relays, true)
+			l.spreader.SetMembers(l.members())
 		case <-l.spreader.Staged():
 		case event := <-l.events.Items():
 			l.settle(ctx, event)
@@ -157,8 +168,17 @@
 	switch e := event.(type) {
 	case engineSeen:
 		l.seen(ctx, e.report)
+	case manifestTold:
+		for _, v := range l.versions.Versions() {
+			if v.ID == e.manifest.Version && v.Manifest == nil {
+				v.Manifest = e.manifest
+			}
+		}
 	case manifestRead:
-		e.of.manifest, e.of.reading = e.manifest, false
+		e.of.Reading = false
+		if e.of.Manifest == nil {
+			e.of.Manifest = e.manifest
+		}
 	default:
 		l.step(ctx, event)
 	}
@@ -175,40 +195,31 @@
 		// Nobody knows how long ago it was declared: it is not to wait for a turn.
 		declaredAt = declaredAt.Add(-l.config.SwitchTime)
 	}
-	newer := l.declared == nil || news.GetVersion() > l.declared.GetVersion()
 	l.declared = news
 	l.layerCount.Store(int32(news.GetLayers()))
-	l.members = l.members[:0]
-	for _, m := range news.GetMembers() {
-		l.members = append(l.members, spread.Member{ID: core.VMID(m.GetEngine()), Zone: core.ZoneID(m.GetZone()), Region: core.RegionID(m.GetRegion())})
-	}
+	l.engines = transfer.Members(news.GetMembers(), false)
 	l.origin.SetAddress(news.GetOrigin())
 	l.spreader.SetOriginRegion(core.RegionID(news.GetOriginRegion()))
-	l.spreader.SetMembers(l.members)
-	if !newer {
-		return
+	l.spreader.SetMembers(l.members())
+	if l.versions.Declare(time.Now(), news.GetVersion(), l.config.Version(news.GetModel(), news.GetVersion()), declaredAt) {
+		l.log.Info("Weights declared.", "model", news.GetModel(), "version", news.GetVersion(), "engines", len(l.engines), "relays", len(l.relayMembers))
 	}
-	l.log.Info("Weights declared.", "model", news.GetModel(), "version", news.GetVersion(), "members", len(l.members))
-	l.pending = append(l.pending, &pendingVersion{
-		number: news.GetVersion(), id: l.config.Version(news.GetModel(), news.GetVersion()), declaredAt: declaredAt,
-	})
 }
 
-// read reads the manifest of a pending version.
-func (l *loads) read(ctx context.Context, p *pendingVersion) {
-	if p.reading || p.manifest != nil {
+// members are all machines that take part in the spread.
+func (l *loads) members() []spread.Member {
+	return append(slices.Clone(l.engines), l.relayMembers...)
+}
+
+// read reads the manifest of a declared version, if no gateway tells it: the
+// origin takes few connections.
+func (l *loads) read(ctx context.Context, v *rollout.Tracked) {
+	if v.Reading || v.Manifest != nil || len(l.relayMembers) > 0 && time.Since(v.KnownAt) < toldWait {
 		return
 	}
-	p.reading = true
+	v.Reading = true
 	go func() {
-		manifest, err := l.origin.Manifest(ctx, p.id)
-		if err != nil {
-			l.log.Warn("The manifest can't be read.", "version", p.id, "err", err)
-			if kernel.Sleep(ctx, manifestRetry) != nil {
-				return
-			}
-		}
-		l.report(ctx, manifestRead{of: p, manifest: manifest})
+		l.report(ctx, manifestRead{of: v, manifest: transfer.ReadManifest(ctx, l.origin, v.ID, l.log)})
 	}()
 }
 
@@ -229,38 +240,31 @@
 	if report.Loading {
 		status.State = engine.StateLoading
 	}
-	l.forgetServed()
+	l.versions.ForgetUpTo(l.held)
 	l.step(ctx, activation.StatusSeen{Status: status})
 }
 
-// forgetServed drops the pending versions that the engine serves. The newest is
-// kept, since the engine may lose it.
-func (l *loads) forgetServed() {
-	for len(l.pending) > 1 && l.pending[0].number <= l.held {
-		l.pending = l.pending[1:]
-	}
-}
-
 // want chooses the version to stage and tells the spreader and the machine.
 func (l *loads) want(ctx context.Context) {
-	if len(l.pending) == 0 {
+	if l.versions.Newest() == nil {
 		return
 	}
 	l.count()
-	for _, p := range l.pending {
-		l.read(ctx, p)
+	for _, v := range l.versions.Versions() {
+		l.read(ctx, v)
 	}
-	if chosen := l.choose(); chosen != l.chosen && chosen.manifest != nil {
-		if l.chosen != nil {
-			l.log.Info("Another version is staged.", "version", chosen.id, "staged", chosen.staged, "former", l.chosen.id, "formerStaged", l.chosen.staged)
+	former := l.versions.Chosen()
+	chosen, changed := l.versions.Choose(rollout.Choice{Now: time.Now(), Limit: l.config.SwitchTime, Serving: l.held > 0, TurnAt: l.turnAt()})
+	if changed {
+		if former != nil {
+			l.log.Info("Another version is staged.", "version", chosen.ID, "staged", chosen.Held(), "former", former.ID, "formerStaged", former.Held())
 		}
-		l.chosen, chosen.stagedSince = chosen, time.Now()
 		l.revision++
-		l.staging.Expect(chosen.manifest)
-		l.step(ctx, activation.Declared{Revision: l.revision, Manifest: chosen.manifest})
+		l.staging.Expect(chosen.Manifest)
+		l.step(ctx, activation.Declared{Revision: l.revision, Manifest: chosen.Manifest})
 	}
 	manifest, _, boot, ok := l.machine.Wanted()
-	if !ok || l.chosen == nil {
+	if !ok || chosen == nil {
 		return
 	}
 	target := activation.Target{Version: manifest.Version, Whole: manifest.Whole, Boot: boot}
@@ -269,7 +273,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, stagingTimeout)
 	defer cancel()
-	if err := l.spreader.Want(callCtx, manifest, l.members); err != nil {
+	if err := l.spreader.Want(callCtx, manifest, l.members()); err != nil {
 		l.log.Warn("The spread can't start.", "version", manifest.Version, "err", err)
 		return
 	}
@@ -278,31 +282,13 @@
 
 // count notes how many chunks of the chosen version there are.
 func (l *loads) count() {
-	if l.chosen == nil {
-		return
-	}
-	progress, known := l.spreader.Progress(l.chosen.id)
-	if !known || progress.Held == l.chosen.staged {
+	chosen := l.versions.Chosen()
+	if chosen == nil {
 		return
 	}
-	l.chosen.staged, l.chosen.lastChunk = progress.Held, time.Now()
-	if l.chosen.firstChunk.IsZero() {
-		l.chosen.firstChunk = l.chosen.lastChunk
-	}
-}
-
-// choose returns the version to stage.
-func (l *loads) choose() *pendingVersion {
-	choice := rollout.Choice{Now: time.Now(), Limit: l.config.SwitchTime, Serving: l.held > 0, TurnAt: l.turnAt()}
-	for _, p := range l.pending {
-		pending := rollout.Pending{Version: p.number, DeclaredAt: p.declaredAt, StagedSince: p.stagedSince, FirstChunkAt: p.firstChunk, LastChunkAt: p.lastChunk}
-		if p.manifest != nil {
-			pending.Share = float64(p.staged) / float64(len(p.manifest.Chunks))
-		}
-		choice.Pending = append(choice.Pending, pending)
+	if progress, known := l.spreader.Progress(chosen.ID); known {
+		chosen.Count(time.Now(), progress.Held)
 	}
-	stage := choice.Stage()
-	return l.pending[slices.IndexFunc(l.pending, func(p *pendingVersion) bool { return p.number == stage })]
 }
 
 // advance reports the staged weights to the machine once the engine may change.
@@ -317,18 +303,18 @@
 // turnAt returns from when the engine may change. An engine that serves nothing
 // need not wait.
 func (l *loads) turnAt() time.Time {
-	oldest := l.pending[0]
-	if l.held == 0 || oldest.number <= l.held {
-		return oldest.declaredAt
+	oldest := l.versions.Oldest()
+	if l.held == 0 || oldest.Number <= l.held {
+		return oldest.DeclaredAt
 	}
 	candidate := rollout.Candidate{
-		Self: core.VMID(l.config.EngineAddress), Version: oldest.id, Limit: l.config.SwitchTime,
+		Self: core.VMID(l.config.EngineAddress), Version: oldest.ID, Limit: l.config.SwitchTime,
 		Recent: !l.changedAt.IsZero() && time.Since(l.changedAt) < l.config.SwitchTime,
 	}
-	for _, m := range l.members {
+	for _, m := range l.engines {
 		candidate.Members = append(candidate.Members, m.ID)
 	}
-	return oldest.declaredAt.Add(rollout.TurnAfter(candidate))
+	return oldest.DeclaredAt.Add(rollout.TurnAfter(candidate))
 }
 
 // step passes one event to the machine and carries out its actions.
--- a/cmd/zsagent/providers.go
+++ b/cmd/zsagent/providers.go
@@ -16,18 +16,20 @@
 	// uploadShare is the part of the VM's link that weights may use: the streams of
 	// the engine take a tenth and must not queue behind them.
 	uploadShare = 0.8
+	// fetchShare is the part of the VM's link that one of the few chunks under way
+	// from a relay may use: three of them leave a tenth for calls.
+	fetchShare = 0.3
 )
 
 func provideEngine(s *platform.Settings) *platform.Engine { return platform.NewEngine(s.EngineAddress) }
 
-func provideOrigin() *platform.Origin { return platform.NewOrigin() }
-
 func providePool() *peers.Pool { return peers.NewPool("", peers.Security{}) }
 
 func provideConfig(o *platform.Options, s *platform.Settings) agent.Config {
 	return agent.Config{
 		EngineAddress: s.EngineAddress, Zone: s.Zone, Region: s.Region,
 		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerPort: s.FirstPort,
-		UploadRate: int64(float64(s.LinkRate) * uploadShare), SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
+		UploadRate: int64(float64(s.LinkRate) * uploadShare), FetchRate: int64(float64(s.LinkRate) * fetchShare),
+		SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
 	}
 }
--- a/cmd/zsagent/wire.go
+++ b/cmd/zsagent/wire.go
@@ -10,6 +10,7 @@
 	"github.com/zinniaseam/zinniaseam/agent"
 	"github.com/zinniaseam/zinniaseam/platform"
 	"github.com/zinniaseam/zinniaseam/program"
+	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
 //go:generate wire
@@ -17,11 +18,11 @@
 func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	wire.Build(
 		platform.ProvideSettings, platform.ProvideLines, platform.ProvideLogger,
-		provideEngine, provideOrigin, providePool, provideConfig,
+		provideEngine, platform.NewOrigin, providePool, provideConfig,
 		wire.Bind(new(agent.Engine), new(*platform.Engine)),
 		wire.Bind(new(agent.Staging), new(*platform.Engine)),
 		wire.Bind(new(agent.Loader), new(*platform.Engine)),
-		wire.Bind(new(agent.Origin), new(*platform.Origin)),
+		wire.Bind(new(transfer.WeightSource), new(*platform.Origin)),
 		agent.New, wire.Bind(new(program.Runner), new(*agent.Agent)), wire.Struct(new(platform.Process), "*"),
 	)
 	return nil, nil
--- a/cmd/zsagent/wire_gen.go
+++ b/cmd/zsagent/wire_gen.go
@@ -21,7 +21,7 @@
 	}
 	config := provideConfig(opts, settings)
 	engine := provideEngine(settings)
-	origin := provideOrigin()
+	origin := platform.NewOrigin()
 	pool := providePool()
 	bounded := platform.ProvideLines()
 	logger, err := platform.ProvideLogger(opts, bounded)
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/fleet"
@@ -9,6 +11,7 @@
 	"github.com/zinniaseam/zinniaseam/metastore"
 	"github.com/zinniaseam/zinniaseam/placement"
 	"github.com/zinniaseam/zinniaseam/platform"
+	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
 const (
@@ -25,6 +28,10 @@
 	// maxWatchWait bounds a watch. Its answer confirms what was known when it was
 	// sent, so that beliefs grow as old as two watches on a quiet day.
 	maxWatchWait = 2400 * time.Millisecond
+	// relayMemoryShare is the part of the VM's memory that weights may take, and
+	// relayLinkShare the part of its link: calls go first.
+	relayMemoryShare = 0.125
+	relayLinkShare   = 0.6
 	// watchShare is the part of the time for revoked keys that one watch may take:
 	// two of them and a slow answer must fit.
 	watchShare = 0.35
@@ -55,5 +62,10 @@
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetryBurst: max(s.Bounds.RetrySlack*budgetShare, 1),
 		MetricsListen: o.MetricsListen(s),
 		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
+		Relay: gateway.RelayConfig{
+			Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Zone: s.Zone, Region: s.Region,
+			MemoryBytes: int64(float64(s.MemoryBytes) * relayMemoryShare), UploadRate: int64(float64(s.LinkRate) * relayLinkShare),
+			RegionRate: transfer.UsualRegionRate, Version: platform.VersionID,
+		},
 	}
 }
--- a/cmd/zsgateway/wire.go
+++ b/cmd/zsgateway/wire.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaseam/zinniaseam/placement"
 	"github.com/zinniaseam/zinniaseam/platform"
 	"github.com/zinniaseam/zinniaseam/program"
+	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
 //go:generate wire
@@ -19,7 +20,8 @@
 func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	wire.Build(
 		platform.ProvideSettings, platform.ProvideLines, platform.ProvideLogger, platform.ProvideClock,
-		provideDecoder, provideStore, provideDialect, providePlacement, provideConfig,
+		provideDecoder, provideStore, platform.NewOrigin, wire.Bind(new(transfer.WeightSource), new(*platform.Origin)),
+		provideDialect, providePlacement, provideConfig,
 		fleet.NewHolder, placement.New, gateway.New, wire.Bind(new(program.Runner), new(*gateway.Gateway)), wire.Struct(new(platform.Process), "*"),
 	)
 	return nil, nil
--- a/cmd/zsgateway/wire_gen.go
+++ b/cmd/zsgateway/wire_gen.go
@@ -24,6 +24,7 @@
 	config := provideConfig(opts, settings)
 	dialect := provideDialect()
 	store := provideStore(settings)
+	origin := platform.NewOrigin()
 	decoder := provideDecoder(settings)
 	clock := platform.ProvideClock()
 	bounded := platform.ProvideLines()
@@ -34,7 +35,10 @@
 	holder := fleet.NewHolder(decoder, clock, logger)
 	placementConfig := providePlacement(settings)
 	placer := placement.New(placementConfig)
-	gatewayGateway := gateway.New(config, dialect, store, holder, placer, clock, logger)
+	gatewayGateway, err := gateway.New(config, dialect, store, origin, holder, placer, clock, logger)
+	if err != nil {
+		return nil, err
+	}
 	process := &platform.Process{
 		Work:     gatewayGateway,
 		Lines:    bounded,
--- a/cmd/zsload/wire_gen.go
+++ b/cmd/zsload/wire_gen.go
@@ -13,6 +13,7 @@
 import (
 	_ "github.com/zinniaseam/zinniaseam/experiment/capacity"
 	_ "github.com/zinniaseam/zinniaseam/experiment/claiming"
+	_ "github.com/zinniaseam/zinniaseam/experiment/placing"
 	_ "github.com/zinniaseam/zinniaseam/experiment/serving"
 	_ "github.com/zinniaseam/zinniaseam/experiment/spreading"
 	_ "net"
--- a/endpoint/manifests.go
+++ b/endpoint/manifests.go
@@ -1,9 +1,7 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -17,6 +15,7 @@
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/spread"
+	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
 const (
@@ -28,9 +27,6 @@
 	maxPeerChunks = (peers.MaxMessageBytes - 1024) / len(core.Digest{})
 )
 
-// errNoManifest means that a peer does not hold the manifest.
-var errNoManifest = errors.New("endpoint: the peer does not hold the manifest")
-
 // manifestReader reads manifests from peers and the weight store, and keeps the
 // latest for peers. It is safe for concurrent use.
 type manifestReader struct {
@@ -83,7 +79,7 @@
 	}
 	vm, listed := r.node.View().VMs[source.Peer]
 	if !listed {
-		return nil, errNoManifest
+		return nil, transfer.ErrNoManifest
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerManifestTimeout)
 	defer cancel()
@@ -101,7 +97,7 @@
 		return nil, fmt.Errorf("manifest from %s: %w", source.Peer, err)
 	}
 	conn.Progress()
-	return decodeManifest(want, reply)
+	return transfer.DecodeManifest(want.version, want.whole, reply)
 }
 
 // Manifest implements peerpb.EndpointServer.
@@ -113,41 +109,7 @@
 	if manifest == nil || len(manifest.Chunks) > maxPeerChunks {
 		return &peerpb.ManifestReply{Missing: true}, nil
 	}
-	return encodeManifest(manifest), nil
-}
-
-func encodeManifest(manifest *core.Manifest) *peerpb.ManifestReply {
-	chunks := make([]byte, 0, len(manifest.Chunks)*len(core.Digest{}))
-	for _, digest := range manifest.Chunks {
-		chunks = append(chunks, digest[:]...)
-	}
-	digest := manifest.Digest()
-	return &peerpb.ManifestReply{
-		SizeBytes: uint64(manifest.SizeBytes), ChunkBytes: uint64(manifest.ChunkBytes), Chunks: chunks, Digest: digest[:],
-	}
-}
-
-// decodeManifest reads what encodeManifest wrote and checks it.
-func decodeManifest(want wantedManifest, reply *peerpb.ManifestReply) (*core.Manifest, error) {
-	if reply.GetMissing() {
-		return nil, errNoManifest
-	}
-	manifest := &core.Manifest{
-		Version: want.version, Whole: want.whole,
-		SizeBytes: int64(reply.GetSizeBytes()), ChunkBytes: int64(reply.GetChunkBytes()),
-	}
-	const size = len(core.Digest{})
-	packed := reply.GetChunks()
-	for ; len(packed) >= size; packed = packed[size:] {
-		manifest.Chunks = append(manifest.Chunks, core.Digest(packed[:size]))
-	}
-	if len(packed) > 0 {
-		return nil, fmt.Errorf("manifest %s: %d bytes are left over after the digests", want.version, len(packed))
-	}
-	if digest := manifest.Digest(); !bytes.Equal(digest[:], reply.GetDigest()) {
-		return nil, fmt.Errorf("manifest %s: damaged on its way", want.version)
-	}
-	return manifest, manifest.Validate()
+	return transfer.EncodeManifest(manifest), nil
 }
 
 // wantedManifest is what the configuration in force declares.
--- a/endpoint/manifests_test.go
+++ b/endpoint/manifests_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/zinniaseam/zinniaseam/catalogue"
 	"github.com/zinniaseam/zinniaseam/core"
-	"github.com/zinniaseam/zinniaseam/peerpb"
 )
 
 func manifestOf(version core.VersionID) *core.Manifest {
@@ -21,28 +20,6 @@
 	return wantedManifest{version: m.Version, whole: m.Whole, size: m.SizeBytes}
 }
 
-func TestAManifestFromAPeerIsTakenOnlyUndamaged(t *testing.T) {
-	g := NewWithT(t)
-	m := manifestOf("v1")
-	read, err := decodeManifest(wantOf(m), encodeManifest(m))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(read).To(Equal(m))
-	g.Expect(wantOf(m).check(read)).To(Succeed())
-	for name, damage := range map[string]func(*peerpb.ManifestReply){
-		"another digest": func(r *peerpb.ManifestReply) { r.Chunks[40] ^= 1 },
-		"half a digest":  func(r *peerpb.ManifestReply) { r.Chunks = r.Chunks[:90] },
-		"a chunk less":   func(r *peerpb.ManifestReply) { r.Chunks = r.Chunks[:64] },
-		"another size":   func(r *peerpb.ManifestReply) { r.SizeBytes++ },
-		"no size":        func(r *peerpb.ManifestReply) { r.ChunkBytes = 0 },
-		"missing":        func(r *peerpb.ManifestReply) { r.Missing = true },
-	} {
-		reply := encodeManifest(m)
-		damage(reply)
-		_, err := decodeManifest(wantOf(m), reply)
-		g.Expect(err).To(HaveOccurred(), name)
-	}
-}
-
 func TestAManifestMustBeTheDeclaredOne(t *testing.T) {
 	g := NewWithT(t)
 	m := manifestOf("v1")
--- a/experiment/placing/engine.go
+++ b/experiment/placing/engine.go
@@ -48,13 +48,6 @@
 	return true
 }
 
-// cancel drops a call whose caller left.
-func (e *engine) cancel(j *job) {
-	same := func(other *job) bool { return other == j }
-	e.running = slices.DeleteFunc(e.running, same)
-	e.waiting = slices.DeleteFunc(e.waiting, same)
-}
-
 // crash ends all calls.
 func (e *engine) crash() {
 	ended := append(e.running, e.waiting...)
--- a/experiment/placing/fleet.go
+++ b/experiment/placing/fleet.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	service core.ServiceID = "engines"
-	model                  = "m"
-	layers                 = 16
+	service = core.ServiceID("engines")
+	model   = "m"
+	layers  = 16
 )
 
 // epoch is where virtual time begins; boottime.Instant 0 stands for unknown.
--- a/experiment/placing/load.go
+++ b/experiment/placing/load.go
@@ -39,7 +39,6 @@
 	returned       bool
 	// firstAt is when its first event reached the caller.
 	firstAt time.Time
-	done    bool
 }
 
 // worth is what the call is worth when it is answered on time or late: a part
--- a/experiment/spreading/bound.go
+++ b/experiment/spreading/bound.go
@@ -16,22 +16,32 @@
 	Machines int `json:"machines"`
 	Zones    int `json:"zones"`
 	Regions  int `json:"regions"`
+	// Relays is how many machines with fast links hold the weights for the others.
+	Relays int `json:"relays,omitempty"`
 }
 
-// members spreads the machines evenly over the zones, and the zones over the regions.
+// members spreads the machines evenly over the zones, and the zones over the
+// regions; relays likewise.
 func (s Shape) members() []spread.Member {
-	members := make([]spread.Member, s.Machines)
-	for i := range members {
-		zone := i % s.Zones
-		members[i] = spread.Member{
-			ID:     core.VMID(fmt.Sprintf("vm-%04d", i)),
-			Zone:   core.ZoneID(fmt.Sprintf("zone-%d", zone)),
-			Region: core.RegionID(fmt.Sprintf("region-%d", zone%s.Regions)),
-		}
+	members := make([]spread.Member, 0, s.Machines+s.Relays)
+	for i := range s.Machines {
+		members = append(members, s.member(fmt.Sprintf("vm-%04d", i), i))
+	}
+	for i := range s.Relays {
+		relay := s.member(fmt.Sprintf("relay-%03d", i), i)
+		relay.Relay = true
+		members = append(members, relay)
 	}
 	return members
 }
 
+func (s Shape) member(id string, index int) spread.Member {
+	zone := index % s.Zones
+	return spread.Member{
+		ID: core.VMID(id), Zone: core.ZoneID(fmt.Sprintf("zone-%d", zone)), Region: core.RegionID(fmt.Sprintf("region-%d", zone%s.Regions)),
+	}
+}
+
 // Weights is the size of a version and of its chunks.
 type Weights struct {
 	SizeBytes  int64 `json:"sizeBytes"`
--- a/experiment/spreading/capacity.go
+++ b/experiment/spreading/capacity.go
@@ -53,7 +53,7 @@
 	result.BytesPerMember = (result.State[2].Bytes - result.State[0].Bytes) / float64(most-least)
 	result.BytesPerChunk = (result.State[3].Bytes - result.State[2].Bytes) / float64(manyChunks-fewChunks)
 
-	shapes := []Shape{{64, 14, 6}, {256, 14, 6}, {1300, 14, 6}}
+	shapes := []Shape{{Machines: 64, Zones: 14, Regions: 6}, {Machines: 256, Zones: 14, Regions: 6}, {Machines: 1300, Zones: 14, Regions: 6}}
 	if options.Quick {
 		shapes = shapes[:1]
 	}
--- a/experiment/spreading/experiment.go
+++ b/experiment/spreading/experiment.go
@@ -30,9 +30,9 @@
 	policies = []string{ownPolicy, "chain", "rarest_first", "origin_only"}
 	faults   = []Fault{FaultDeaths, FaultStalled, FaultCorrupt, FaultVersion, FaultZoneCut}
 
-	flatShapes     = []Shape{{8, 2, 1}, {64, 4, 1}, {256, 4, 1}, {1300, 14, 1}}
-	regionalShapes = []Shape{{64, 14, 6}, {256, 14, 6}, {1300, 14, 6}}
-	quickShapes    = []Shape{{8, 2, 1}, {64, 4, 1}, {64, 14, 6}}
+	flatShapes     = []Shape{{Machines: 8, Zones: 2, Regions: 1}, {Machines: 64, Zones: 4, Regions: 1}, {Machines: 256, Zones: 4, Regions: 1}, {Machines: 1300, Zones: 14, Regions: 1}}
+	regionalShapes = []Shape{{Machines: 64, Zones: 14, Regions: 6}, {Machines: 256, Zones: 14, Regions: 6}, {Machines: 1300, Zones: 14, Regions: 6}}
+	quickShapes    = []Shape{{Machines: 8, Zones: 2, Regions: 1}, {Machines: 64, Zones: 4, Regions: 1}, {Machines: 64, Zones: 14, Regions: 6}}
 )
 
 // Row is the median run of a case with the range over its seeds.
@@ -130,7 +130,7 @@
 		}
 		for _, policy := range policies[1:] {
 			if !quick {
-				add(policy, fault, Shape{64, 4, 1})
+				add(policy, fault, Shape{Machines: 64, Zones: 4, Regions: 1})
 			}
 		}
 	}
--- a/experiment/spreading/measure.go
+++ b/experiment/spreading/measure.go
@@ -29,6 +29,8 @@
 	Seed    uint64  `json:"seed"`
 	// Tuning replaces the sizes of the chunk_owner policy.
 	Tuning *spread.Tuning `json:"tuning,omitempty"`
+	// Network replaces the links that carry four copies of the origin in timeFrame.
+	Network *Network `json:"network,omitempty"`
 }
 
 func (c Case) construct() (spread.Construct, error) {
@@ -82,6 +84,9 @@
 		return Outcome{}, err
 	}
 	network := budgetNetwork(c.Weights, timeFrame)
+	if c.Network != nil {
+		network = *c.Network
+	}
 	members := c.Shape.members()
 	sim := newSimulation(network, members, construct, c.Seed)
 	sim.sharedLinks = c.Policy == ownPolicy
--- a/experiment/spreading/network.go
+++ b/experiment/spreading/network.go
@@ -38,6 +38,18 @@
 	return l.free
 }
 
+// relaySpeed is how many times faster the link of a relay is: 1,000 Mbit/s
+// against 9.4 on the users' deployments.
+const relaySpeed = 100
+
+// speed is the rate of the machine's link in parts of the network's.
+func (m *machine) speed() float64 {
+	if m.member.Relay {
+		return relaySpeed
+	}
+	return 1
+}
+
 // machine is one VM with its policy and links.
 type machine struct {
 	index  int
--- a/experiment/spreading/tuning.go
+++ b/experiment/spreading/tuning.go
@@ -14,7 +14,7 @@
 }
 
 // tuningShape is the fleet that the sizes are chosen for.
-var tuningShape = Shape{256, 4, 1}
+var tuningShape = Shape{Machines: 256, Zones: 4, Regions: 1}
 
 // TuningResult is what the tuning measurement writes.
 type TuningResult struct {
@@ -27,7 +27,7 @@
 func runTuning(ctx context.Context, options experiment.Options) error {
 	shape, runs := tuningShape, 1
 	if options.Quick {
-		shape = Shape{32, 4, 1}
+		shape = Shape{Machines: 32, Zones: 4, Regions: 1}
 	}
 	var planned []plannedCase
 	add := func(chunk int64, tuning spread.Tuning) {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -54,12 +55,29 @@
 // followed is one engine whose agent is followed.
 type followed struct {
 	cancel context.CancelFunc
+	// sameRegion says that the engine stands in this process's region.
+	sameRegion bool
 	// news and want are what the agent is told, changed is closed when one of them
 	// is replaced.
 	news    *peerpb.FleetNews
 	want    *peerpb.SlotWant
 	wantAt  time.Time
 	changed chan struct{}
+	// relays are the gateways that hold chunks, as the agent knows them.
+	relays []*peerpb.FleetMember
+	// version is the newest that the engine holds whole; heard says that its agent
+	// has told.
+	version int64
+	heard   bool
+}
+
+// wakeAll has all agents told of what this process has learned.
+func (a *agents) wakeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, f := range a.current {
+		f.wake()
+	}
 }
 
 // wake tells the sender of a change; the lock must be held.
@@ -95,7 +113,7 @@
 		f := a.current[address]
 		if f == nil {
 			ctx, cancel := context.WithCancel(a.ctx)
-			f = &followed{cancel: cancel, news: news, changed: make(chan struct{})}
+			f = &followed{cancel: cancel, news: news, changed: make(chan struct{}), sameRegion: a.inOwnRegion(news, address)}
 			a.current[address] = f
 			go a.follow(ctx, address, f)
 			continue
@@ -107,6 +125,30 @@
 	}
 }
 
+func (a *agents) inOwnRegion(news *peerpb.FleetNews, address string) bool {
+	return slices.ContainsFunc(news.GetMembers(), func(m *peerpb.FleetMember) bool {
+		return m.GetAddress() == address && m.GetRegion() == string(a.gateway.config.Relay.Region)
+	})
+}
+
+// holders returns the engines of this region that serve a version, by their
+// addresses, and whether all agents of the region have told.
+func (a *agents) holders(version int64) (holders map[string]bool, complete bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	holders, complete = map[string]bool{}, true
+	for address, f := range a.current {
+		if !f.sameRegion {
+			continue
+		}
+		complete = complete && f.heard
+		if f.version == version {
+			holders[address] = true
+		}
+	}
+	return holders, complete
+}
+
 // wanted returns the engines by their addresses, with what their agents are told.
 func (a *agents) wanted(view *fleet.View) map[string]*peerpb.FleetNews {
 	engines := map[core.ServiceID][]*fleet.Endpoint{}
@@ -119,6 +161,7 @@
 	for service, endpoints := range engines {
 		backend := view.Deployment.Services[service]
 		news := a.newsOf(view, backend.Engine, endpoints)
+		a.gateway.relay.take(news)
 		for _, endpoint := range endpoints {
 			wanted[endpoint.Address] = news
 		}
@@ -136,7 +179,7 @@
 	}
 	slices.SortFunc(engines, func(x, y *fleet.Endpoint) int { return cmp.Compare(x.Address, y.Address) })
 	for _, endpoint := range engines {
-		news.Members = append(news.Members, &peerpb.FleetMember{Engine: endpoint.Address, Zone: string(endpoint.Zone), Region: string(endpoint.Region)})
+		news.Members = append(news.Members, &peerpb.FleetMember{Address: endpoint.Address, Zone: string(endpoint.Zone), Region: string(endpoint.Region)})
 	}
 	return news
 }
@@ -186,18 +229,48 @@
 			a.gateway.log.Info("The agent is followed again.", "engine", engine)
 		}
 		a.scheduler.engineNews(news)
+		a.note(f, news)
+	}
+}
+
+// note keeps what an agent tells beside the load, and tells the own relay of all
+// gateways that any agent knows to hold chunks.
+func (a *agents) note(f *followed, news *peerpb.EngineNews) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f.version, f.heard = news.GetVersion(), true
+	same := func(x, y *peerpb.FleetMember) bool { return proto.Equal(x, y) }
+	if slices.EqualFunc(f.relays, news.GetRelays(), same) {
+		return
 	}
+	f.relays = news.GetRelays()
+	byAddress := map[string]*peerpb.FleetMember{}
+	for _, other := range a.current {
+		for _, m := range other.relays {
+			byAddress[m.GetAddress()] = m
+		}
+	}
+	all := make([]*peerpb.FleetMember, 0, len(byAddress))
+	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
+		all = append(all, byAddress[address])
+	}
+	a.gateway.relay.takeRelays(all)
 }
 
 // tell sends what changes until the stream ends; the receiving side reports why.
 func (a *agents) tell(stream grpc.BidiStreamingClient[peerpb.GatewayNews, peerpb.EngineNews], f *followed) {
 	var told *peerpb.FleetNews
+	var manifest string
 	for {
 		a.mu.Lock()
 		message, changed := &peerpb.GatewayNews{Gateway: a.name, Want: f.want}, f.changed
 		if f.news != told {
 			message.Fleet, told = f.news, f.news
 		}
+		message.Relay = a.gateway.relay.member(f.news)
+		if known := a.gateway.relay.manifestOf(f.news); f.sameRegion && known.GetVersion() != manifest {
+			message.Manifest, manifest = known, known.GetVersion()
+		}
 		a.mu.Unlock()
 		if stream.Send(message) != nil {
 			return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
 // Dialect translates between the product and callers and endpoints.
@@ -59,6 +60,7 @@
 	MetricsListen string
 	// WatchWait bounds one watch of the store.
 	WatchWait time.Duration
+	Relay     RelayConfig
 }
 
 // Gateway serves callers.
@@ -71,6 +73,7 @@
 	scheduler *scheduler
 	budgets   *budgets
 	agents    *agents
+	relay     *relay
 	patience  patienceSeen
 	log       *log.Logger
 	now       boottime.Clock
@@ -80,20 +83,26 @@
 }
 
 // New joins the parts of a gateway.
-func New(config Config, dialect Dialect, store metastore.Store, holder *fleet.Holder, placer *placement.Placer, now boottime.Clock, logger *log.Logger) *Gateway {
+func New(config Config, dialect Dialect, store metastore.Store, origin transfer.WeightSource, holder *fleet.Holder, placer *placement.Placer, now boottime.Clock, logger *log.Logger) (*Gateway, error) {
+	pool := peers.NewPool("", peers.Security{})
+	relay, err := newRelay(config.Relay, origin, pool, logger)
+	if err != nil {
+		return nil, err
+	}
 	g := &Gateway{
 		config: config, dialect: dialect, holder: holder, store: store, pool: forward.NewPool(),
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetryBurst),
-		log: logger.WithPrefix("gateway"), now: now,
+		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
 	g.agents = &agents{
 		name: string(config.Name),
-		pool: peers.NewPool("", peers.Security{}), port: config.AgentPort, regions: config.Regions,
+		pool: pool, port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*followed{},
 	}
+	relay.onManifest, relay.holders = g.agents.wakeAll, g.agents.holders
 	holder.OnChange(g.scheduler.setView)
 	holder.OnChange(g.agents.setView)
-	return g
+	return g, nil
 }
 
 // Times of the listeners.
@@ -127,6 +136,9 @@
 	process.AddDuty("placement", g.scheduler.run)
 	process.AddDuty("agents", g.agents.run)
 	process.AddDuty("wants", g.agents.tellWants)
+	process.AddDuty("peers", g.relay.serve)
+	process.AddDuty("weights", g.relay.run)
+	process.AddDuty("spread", g.relay.spreader.Run)
 	process.AddDuty("sweep", g.sweep)
 	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
 	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -25,6 +25,12 @@
 	ownerFirstRanks = 1
 	// ownerFirstPatience is after how many failures a first region asks the origin.
 	ownerFirstPatience = 6
+	// ownerHolderTries is how often a head asks machines that are said to hold a
+	// chunk before it draws the chunk from outside.
+	ownerHolderTries = 2
+	// ownerRelayPatience is after how many failures of a chunk relays that have
+	// failed are done without, every other time.
+	ownerRelayPatience = 4
 	// ownerGuessEach is after how many failures a head asks machines by chance.
 	ownerGuessEach = 6
 )
@@ -36,6 +42,9 @@
 	// OriginWindow, CrossWindow and PeerWindow bound the fetches in flight from
 	// the origin, from other regions and from this region.
 	OriginWindow, CrossWindow, PeerWindow int
+	// RelayWindow takes the place of PeerWindow for machines that relays serve:
+	// few chunks at once fill their links and keep the queue there short.
+	RelayWindow int
 	// RegionWindow bounds the fetches across regions of all heads of a region
 	// together; each head takes an equal part, at most CrossWindow.
 	RegionWindow int
@@ -69,7 +78,7 @@
 
 // DefaultTuning is what the policy chunk_owner uses: for weights of gigabytes.
 var DefaultTuning = Tuning{
-	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RegionWindow: 128,
+	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RelayWindow: 8, RegionWindow: 128,
 	Patience: Patience{
 		OriginTimeout: 10 * time.Second, CrossTimeout: 5 * time.Second, PeerTimeout: 3 * time.Second,
 		CrossWait: 8 * time.Second, PeerWait: 8 * time.Second, CrossMisses: 8, PeerMisses: 4,
@@ -80,7 +89,7 @@
 // QuickTuning is what the policy chunk_owner_quick uses: for weights that spread
 // within seconds, so that sources that come back are asked again at once.
 var QuickTuning = Tuning{
-	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 16, RegionWindow: 128,
+	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 16, RelayWindow: 3, RegionWindow: 128,
 	StartWindow: 6, SlowTransfer: 500 * time.Millisecond,
 	Patience: Patience{
 		OriginTimeout: 1500 * time.Millisecond, CrossTimeout: 1500 * time.Millisecond, PeerTimeout: 1300 * time.Millisecond,
@@ -191,6 +200,8 @@
 	p.start.Members = nil
 	p.topology = newTopology(p.start.Manifest.Version, p.start.Self, p.start.OriginRegion, members)
 	p.tree = tree{topology: p.topology, arity: p.tuning.Arity}
+	p.most[classPeer] = p.peerWindow()
+	p.windows[classPeer] = min(max(p.windows[classPeer], 1), p.most[classPeer])
 	p.most[classCross] = p.crossWindow()
 	p.windows[classCross] = min(p.windows[classCross], p.most[classCross])
 	if p.tuning.SlowTransfer == 0 {
@@ -210,9 +221,19 @@
 	}
 }
 
+func (p *chunkOwner) peerWindow() int {
+	if len(p.topology.relays) > 0 && !p.start.Self.Relay {
+		return p.tuning.RelayWindow
+	}
+	return p.tuning.PeerWindow
+}
+
 // crossWindow is this machine's part of RegionWindow.
 func (p *chunkOwner) crossWindow() int {
 	heads := min(len(p.topology.region)+1, HeadsPerRegion)
+	if relays := len(p.topology.relays); relays > 0 {
+		heads = min(relays, HeadsPerRegion)
+	}
 	return min(max(p.tuning.RegionWindow/heads, ownerMinCross), p.tuning.CrossWindow)
 }
 
@@ -245,6 +266,7 @@
 // enqueue puts a chunk into the queue of its likely class; startFetches moves
 // it when the class proves to be another.
 func (p *chunkOwner) enqueue(now time.Time, chunk int) {
+	p.noteSilent(now, chunk)
 	class := classPeer
 	if head, ok := p.effectiveHead(now, chunk); ok && head.ID == p.start.Self.ID {
 		_, class = p.chooseAsHead(now, chunk)
--- a/spread/chunk_owner_choose.go
+++ b/spread/chunk_owner_choose.go
@@ -9,6 +9,7 @@
 // choose returns the source that a chunk is asked from next: the nearest
 // ancestor in the zone's tree that is not under suspicion, then the head.
 func (p *chunkOwner) choose(now time.Time, chunk int) (Source, fetchClass) {
+	p.noteSilent(now, chunk)
 	head, ok := p.effectiveHead(now, chunk)
 	if ok && head.ID == p.start.Self.ID {
 		return p.chooseAsHead(now, chunk)
@@ -30,6 +31,18 @@
 	return p.chooseFallback(now, chunk)
 }
 
+// noteSilent notes which regions do without their relays. One chunk at a time
+// finds each relay past its hold-off again, so that a chunk that failed often
+// does without all that failed, every other time.
+func (p *chunkOwner) noteSilent(now time.Time, chunk int) {
+	attempts := p.chunks[chunk].attempts
+	without := attempts >= ownerRelayPatience && attempts%2 == 1
+	p.topology.noteSilent(func(id core.VMID) bool {
+		_, failed := p.suspects[id]
+		return p.suspects.has(id, now) || without && failed
+	})
+}
+
 // effectiveHead returns the first head of the chunk in this region that is not
 // under suspicion; its successors come in at once when it fails.
 func (p *chunkOwner) effectiveHead(now time.Time, chunk int) (Member, bool) {
@@ -56,6 +69,9 @@
 			return Source{Peer: far}, classCross
 		}
 	}
+	if holder, ok := p.holder(now, chunk); ok {
+		return Source{Peer: holder}, classPeer
+	}
 	if p.mayAskOrigin(chunk) {
 		if !p.suspects.has(originSuspect, now) {
 			return Source{}, classOrigin
@@ -71,6 +87,21 @@
 	return p.randomInRegion(now)
 }
 
+// holder returns a machine of this region that holds the chunk already, for the
+// first attempts: a version that has spread before needs no link between regions.
+func (p *chunkOwner) holder(now time.Time, chunk int) (core.VMID, bool) {
+	holders := p.topology.holders
+	if len(holders) == 0 || p.chunks[chunk].attempts >= ownerHolderTries {
+		return "", false
+	}
+	for i := range holders {
+		if id := holders[(chunk+i)%len(holders)]; !p.suspects.has(id, now) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // farShare is how often, one time in so many, a machine that does without the
 // origin asks another region.
 const farShare = 4
@@ -124,7 +155,7 @@
 // suspicion, one of the others. The chunks of a failed gateway go to all others
 // evenly.
 func (p *chunkOwner) liveGateway(now time.Time, chunk int, region core.RegionID) (core.VMID, bool) {
-	gateways := p.topology.gateways[region]
+	gateways := p.topology.gatewaysOf(region)
 	n := len(gateways)
 	round := chunk / max(len(p.topology.others), 1)
 	for i := range gateways {
@@ -181,7 +212,7 @@
 // alone serves a machine that has its region for itself: it tries the gateways
 // of the root again, suspects included.
 func (p *chunkOwner) alone() (Source, fetchClass) {
-	gateways := p.topology.gateways[p.topology.root]
+	gateways := p.topology.gatewaysOf(p.topology.root)
 	if p.start.Self.Region == p.topology.root || len(gateways) == 0 {
 		return Source{}, classOrigin
 	}
--- a/spread/chunk_owner_test.go
+++ b/spread/chunk_owner_test.go
@@ -17,6 +17,7 @@
 // under testdata are replayed against their stated outcomes.
 type schedule struct {
 	Machines int       `json:"machines"`
+	Relays   int       `json:"relays,omitempty"`
 	Zones    int       `json:"zones"`
 	Regions  int       `json:"regions"`
 	Chunks   int       `json:"chunks"`
@@ -49,7 +50,8 @@
 var mishapKinds = []string{"kill", "cut", "heal", "origin_down", "origin_up", "corrupt", "lists"}
 
 func (s schedule) start() *world {
-	w := newWorld(worldMembers(s.Machines, s.Zones, s.Regions), s.Chunks, s.Seed, NewChunkOwner(DefaultTuning))
+	members := addRelays(worldMembers(s.Machines, s.Zones, s.Regions), s.Relays, s.Zones, s.Regions)
+	w := newWorld(members, s.Chunks, s.Seed, NewChunkOwner(DefaultTuning))
 	for _, m := range s.Faults {
 		w.after(time.Duration(m.AtMS)*time.Millisecond, func() { w.suffer(m) })
 	}
@@ -91,12 +93,13 @@
 	s := schedule{
 		Machines: rapid.IntRange(1, 14).Draw(t, "machines"), Zones: rapid.IntRange(1, 4).Draw(t, "zones"),
 		Chunks: rapid.IntRange(1, 40).Draw(t, "chunks"), Seed: rapid.Uint64().Draw(t, "seed"),
+		Relays: rapid.IntRange(0, 5).Draw(t, "relays"),
 	}
 	s.Regions = rapid.IntRange(1, s.Zones).Draw(t, "regions")
 	s.Faults = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) mishap {
 		return mishap{
 			AtMS: rapid.IntRange(0, int(faultPhase/time.Millisecond)).Draw(t, "at"), Kind: rapid.SampledFrom(mishapKinds).Draw(t, "kind"),
-			Machine: rapid.IntRange(0, 13).Draw(t, "machine"), Share: rapid.Float64Range(0, 0.5).Draw(t, "share"),
+			Machine: rapid.IntRange(0, 18).Draw(t, "machine"), Share: rapid.Float64Range(0, 0.5).Draw(t, "share"),
 		}
 	}), 0, 12).Draw(t, "faults")
 	return s
@@ -234,3 +237,60 @@
 		}
 	})
 }
+
+func TestMachinesTakeChunksFromTheRelaysOfTheirZone(t *testing.T) {
+	g := NewWithT(t)
+	members := addRelays(worldMembers(9, 3, 3), 6, 3, 3)
+	w := newWorld(members, 48, 1, NewChunkOwner(QuickTuning))
+	sent := map[core.VMID]int{}
+	for _, n := range w.nodes {
+		if n.member.Relay {
+			continue
+		}
+		for chunk := range w.manifest.Chunks {
+			source, class := n.policy.(*chunkOwner).choose(w.clock.Now(), chunk)
+			g.Expect(class).To(Equal(classPeer))
+			relay := w.byID[source.Peer].member
+			g.Expect(relay.Relay).To(BeTrue())
+			g.Expect(relay.Zone).To(Equal(n.member.Zone))
+			sent[relay.ID]++
+		}
+	}
+	for id, chunks := range sent {
+		g.Expect(chunks).To(BeNumerically("~", 9*48/6, 9*48/6/4), string(id))
+	}
+	w.runUntil(w.clock.Now().Add(time.Minute))
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.allHeld()).To(BeTrue())
+	g.Expect(w.originDraws).To(HaveEach(1))
+}
+
+func TestMachinesGoOnWithoutRelaysThatAreGone(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(addRelays(worldMembers(6, 2, 2), 4, 2, 2), 12, 1, NewChunkOwner(QuickTuning))
+	for _, n := range w.nodes {
+		n.dead = n.member.Relay
+	}
+	w.runUntil(w.clock.Now().Add(30 * time.Second))
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.allHeld()).To(BeTrue())
+}
+
+func TestRelaysTakeAVersionThatIsInTheirRegionFromThere(t *testing.T) {
+	g := NewWithT(t)
+	members := addRelays(worldMembers(6, 2, 2), 2, 2, 2)
+	for i := range members[:4] {
+		members[i].Holds = true
+	}
+	w := newWorld(members, 12, 1, NewChunkOwner(QuickTuning))
+	for _, n := range w.nodes[:4] {
+		for chunk := range n.held {
+			n.held[chunk] = true
+			n.policy.Step(w.clock.Now(), ChunkHeld{Chunk: chunk})
+		}
+	}
+	w.runUntil(w.clock.Now().Add(10 * time.Second))
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.allHeld()).To(BeTrue())
+	g.Expect(w.originDraws).To(HaveEach(0))
+}
--- a/spread/policy.go
+++ b/spread/policy.go
@@ -14,6 +14,12 @@
 	ID     core.VMID
 	Zone   core.ZoneID
 	Region core.RegionID
+	// Relay says that the machine has a fast link and holds the chunks for others.
+	// Where a region has relays, chunks come into it and go to its machines by
+	// them alone while one of them answers.
+	Relay bool
+	// Holds says that the machine is known to hold all chunks already.
+	Holds bool
 }
 
 // Start configures a policy for one version on one machine.
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -24,10 +24,8 @@
 	root core.RegionID
 	// others are the remaining regions, in the order of their names.
 	others []core.RegionID
-	// gateways are the machines of each other region that send to this one.
-	gateways map[core.RegionID][]Member
-	// heads has HeadsPerRegion slots for each region.
-	heads map[core.RegionID][]Member
+	// entries are the ways into each region and out of it.
+	entries map[core.RegionID]*regionEntries
 	// zones lists the machines of each zone of this region in the order of their hashes.
 	zones map[core.ZoneID][]core.VMID
 	// zoneNames are the zones of this region in order.
@@ -38,10 +36,39 @@
 	zoneOf map[core.VMID]core.ZoneID
 	// region holds the machines of this machine's region, without self.
 	region []core.VMID
+	// relays are those of this machine's zone, or of the region when the zone has
+	// none, in the order of their hashes.
+	relays []core.VMID
+	// holders are the machines of this region that hold all chunks.
+	holders []core.VMID
+}
+
+// regionEntries are the machines by which chunks come into a region and go out of
+// it: its relays, and its other machines when it has none or none answers.
+type regionEntries struct {
+	relays []core.VMID
+	// byRelays and plain are used while a relay answers and while none does.
+	byRelays, plain entryLists
+	// silent says that no relay answers.
+	silent bool
+}
+
+type entryLists struct {
+	// heads has HeadsPerRegion slots.
+	heads []Member
+	// gateways are the machines that send to this machine's region.
+	gateways []Member
+}
+
+func (e *regionEntries) lists() *entryLists {
+	if len(e.relays) == 0 || e.silent && len(e.plain.heads) > 0 {
+		return &e.plain
+	}
+	return &e.byRelays
 }
 
 func newTopology(version core.VersionID, self Member, originRegion core.RegionID, members []Member) *topology {
-	t := &topology{self: self, heads: map[core.RegionID][]Member{}, zoneOf: make(map[core.VMID]core.ZoneID, len(members)+1)}
+	t := &topology{self: self, entries: map[core.RegionID]*regionEntries{}, zoneOf: make(map[core.VMID]core.ZoneID, len(members)+1)}
 	byRegion := map[core.RegionID][]ranked{}
 	for _, m := range append(slices.Clone(members), self) {
 		if _, seen := t.zoneOf[m.ID]; seen {
@@ -55,19 +82,56 @@
 		byRegion[m.Region] = append(byRegion[m.Region], r)
 	}
 	t.orderZones(byRegion[self.Region])
+	t.others = slices.Sorted(maps.Keys(byRegion))
 	for region, machines := range byRegion {
-		t.heads[region] = pickHeads(machines)
-		t.others = append(t.others, region)
-	}
-	slices.Sort(t.others)
-	t.gateways = map[core.RegionID][]Member{}
-	for _, region := range t.others {
-		t.gateways[region] = gatewaysOf(t.heads[region], t.others, self.Region)
+		t.entries[region] = t.entriesOf(machines)
 	}
+	t.chooseRelays(byRegion[self.Region])
 	t.chooseRoot(version, originRegion)
 	return t
 }
 
+// entriesOf picks the heads and gateways of a region.
+func (t *topology) entriesOf(machines []ranked) *regionEntries {
+	relays, plain := splitRelays(machines)
+	e := &regionEntries{byRelays: t.listsOf(relays), plain: t.listsOf(plain)}
+	for _, r := range relays {
+		e.relays = append(e.relays, r.member.ID)
+	}
+	return e
+}
+
+func (t *topology) listsOf(machines []ranked) entryLists {
+	heads := pickHeads(machines)
+	return entryLists{heads: heads, gateways: gatewaysOf(heads, t.others, t.self.Region)}
+}
+
+// noteSilent notes the regions none of whose relays answers.
+func (t *topology) noteSilent(silent func(core.VMID) bool) {
+	for _, e := range t.entries {
+		e.silent = !slices.ContainsFunc(e.relays, func(id core.VMID) bool { return id == t.self.ID || !silent(id) })
+	}
+}
+
+// relaysAnswer reports whether chunks come to this machine by relays.
+func (t *topology) relaysAnswer() bool {
+	return len(t.relays) > 0 && !t.entries[t.self.Region].silent
+}
+
+func (t *topology) headsOf(region core.RegionID) []Member {
+	if e := t.entries[region]; e != nil {
+		return e.lists().heads
+	}
+	return nil
+}
+
+func (t *topology) gatewaysOf(region core.RegionID) []Member {
+	if e := t.entries[region]; e != nil {
+		return e.lists().gateways
+	}
+	return nil
+}
+
 // orderZones sorts the machines of this region into their zones.
 func (t *topology) orderZones(machines []ranked) {
 	sorted := slices.Clone(machines)
@@ -77,20 +141,53 @@
 	t.zones = map[core.ZoneID][]core.VMID{}
 	t.index = make(map[core.VMID]int, len(sorted))
 	for _, r := range sorted {
-		zone := r.member.Zone
-		t.index[r.member.ID] = len(t.zones[zone])
-		t.zones[zone] = append(t.zones[zone], r.member.ID)
 		if r.member.ID != t.self.ID {
 			t.region = append(t.region, r.member.ID)
+			if r.member.Holds {
+				t.holders = append(t.holders, r.member.ID)
+			}
 		}
+		if r.member.Relay {
+			continue
+		}
+		zone := r.member.Zone
+		t.index[r.member.ID] = len(t.zones[zone])
+		t.zones[zone] = append(t.zones[zone], r.member.ID)
 	}
 	t.zoneNames = slices.Sorted(maps.Keys(t.zones))
 }
 
+// chooseRelays notes the relays that serve this machine.
+func (t *topology) chooseRelays(machines []ranked) {
+	relays, _ := splitRelays(machines)
+	slices.SortFunc(relays, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	for _, ownZone := range []bool{true, false} {
+		for _, r := range relays {
+			if !ownZone || r.member.Zone == t.self.Zone {
+				t.relays = append(t.relays, r.member.ID)
+			}
+		}
+		if len(t.relays) > 0 {
+			return
+		}
+	}
+}
+
+func splitRelays(machines []ranked) (relays, plain []ranked) {
+	for _, r := range machines {
+		if r.member.Relay {
+			relays = append(relays, r)
+		} else {
+			plain = append(plain, r)
+		}
+	}
+	return relays, plain
+}
+
 // chooseRoot takes the origin's region, or the best by hash when it has no machine.
 func (t *topology) chooseRoot(version core.VersionID, originRegion core.RegionID) {
 	t.root = originRegion
-	if _, has := t.heads[originRegion]; !has {
+	if _, has := t.entries[originRegion]; !has {
 		t.root = slices.MinFunc(t.others, func(a, b core.RegionID) int {
 			return cmp.Compare(hashName(version, string(a)), hashName(version, string(b)))
 		})
@@ -98,8 +195,10 @@
 	t.others = slices.DeleteFunc(t.others, func(r core.RegionID) bool { return r == t.root })
 }
 
-// Heads returns the machines of a region that take chunks in from outside of it, one for each of HeadsPerRegion slots. Each machine is picked once
-// before any is picked twice, so that the slots are even over the machines.
+// Heads returns the machines of a region that take chunks in from outside of it,
+// one for each of HeadsPerRegion slots: its relays, where it has any. Each
+// machine is picked once before any is picked twice, so that the slots are even
+// over the machines.
 func Heads(version core.VersionID, region core.RegionID, members []Member) []Member {
 	var machines []ranked
 	for _, m := range members {
@@ -107,6 +206,9 @@
 			machines = append(machines, ranked{member: m, hash: hashMember(version, m.ID)})
 		}
 	}
+	if relays, _ := splitRelays(machines); len(relays) > 0 {
+		machines = relays
+	}
 	return pickHeads(machines)
 }
 
@@ -186,7 +288,7 @@
 
 // headOrder returns the machine at a position of a chunk's head order in a region.
 func (t *topology) headOrder(region core.RegionID, chunk, position int) (Member, bool) {
-	heads := t.heads[region]
+	heads := t.headsOf(region)
 	if len(heads) == 0 {
 		return Member{}, false
 	}
--- a/spread/tree.go
+++ b/spread/tree.go
@@ -35,6 +35,9 @@
 func (t *tree) ancestors(path []core.VMID, chunk int) []core.VMID {
 	self := t.topology.self
 	head, successor := t.leaders(chunk)
+	if t.topology.relaysAnswer() {
+		return t.relaysAbove(path, chunk, head)
+	}
 	switch self.ID {
 	case head.ID:
 		return path
@@ -49,6 +52,28 @@
 	return append(t.zoneTops(path, chunk, head, successor), head.ID)
 }
 
+// relaysAbove appends the relays that a machine asks for a chunk, each of which
+// serves an equal part of the chunks. A relay asks the head alone.
+func (t *tree) relaysAbove(path []core.VMID, chunk int, head Member) []core.VMID {
+	self := t.topology.self
+	if self.ID == head.ID {
+		return path
+	}
+	if !self.Relay {
+		relays := t.topology.relays
+		for i := range relays {
+			if id := relays[(chunk+i)%len(relays)]; id != head.ID {
+				path = append(path, id)
+			}
+		}
+		if slices.Contains(relays, head.ID) {
+			// The head has the chunk first.
+			return append([]core.VMID{head.ID}, path...)
+		}
+	}
+	return append(path, head.ID)
+}
+
 // zoneTops appends the tops of the zones between this zone and the head's.
 func (t *tree) zoneTops(path []core.VMID, chunk int, head, successor Member) []core.VMID {
 	zones := t.topology.zoneNames
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -54,6 +54,16 @@
 	return members
 }
 
+// addRelays adds relays, one zone after the other.
+func addRelays(members []Member, count, zones, regions int) []Member {
+	for i, m := range worldMembers(count, zones, regions) {
+		m.ID = core.VMID(fmt.Sprintf("relay-%02d", i))
+		m.Relay = true
+		members = append(members, m)
+	}
+	return members
+}
+
 func newWorld(members []Member, chunks int, seed uint64, build Construct) *world {
 	w := &world{
 		clock: virtualtime.New(time.Unix(1000, 0)), chance: rand.New(rand.NewPCG(seed, 1)), byID: map[core.VMID]*worldNode{},
@@ -154,7 +164,12 @@
 		}
 		ranks = ownerFirstRanks
 	}
-	heads := Heads("v", n.member.Region, n.members)
+	candidates := n.members
+	if !n.member.Relay {
+		// Machines that are no relays stand in for relays that do not answer.
+		candidates = slices.DeleteFunc(slices.Clone(n.members), func(m Member) bool { return m.Relay })
+	}
+	heads := Heads("v", n.member.Region, candidates)
 	var distinct []core.VMID
 	for position := 0; position < len(heads) && len(distinct) < ranks; position++ {
 		id := heads[(chunk/max(len(others), 1)+position)%len(heads)].ID
--- a/transfer/config.go
+++ b/transfer/config.go
@@ -19,6 +19,10 @@
 	"github.com/zinniaseam/zinniaseam/timeline"
 )
 
+// UsualRegionRate is what weights may use of a link of 25 Mbit/s between two
+// regions, in bytes a second: five sixths of it; live requests need about a twentieth.
+const UsualRegionRate = 2_600_000
+
 // Defaults of Config.
 const (
 	DefaultPolicy       = "chunk_owner"
@@ -90,6 +94,9 @@
 	UploadRate int64
 	// DownloadRate bounds all fetches together, in bytes a second; 0 is unbounded.
 	DownloadRate int64
+	// FetchRate is how fast a peer with a faster link is to send one chunk, in bytes
+	// a second, so that the queue on this machine's link stays short; 0 is unbounded.
+	FetchRate int64
 	// OriginRate bounds the draws from the origin, in bytes a second; 0 is unbounded.
 	OriginRate int64
 	// PartBytes is how much is sent at once, at most and by default 64 KiB. On slow
--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -110,6 +110,7 @@
 	stream, err := client.FetchChunk(ctx, &peerpb.ChunkRequest{
 		Version: string(r.manifest.Version), Index: uint32(fetch.Chunk), Digest: digest[:],
 		WaitMs: uint32(fetch.Wait / time.Millisecond), Requester: string(s.config.Self.ID), RequesterRegion: string(s.config.Self.Region),
+		MaxRate: uint64(s.config.FetchRate),
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/transfer/manifest.go
@@ -0,0 +1,48 @@
+package transfer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/peerpb"
+)
+
+// ErrNoManifest means that the peer does not hold the manifest.
+var ErrNoManifest = errors.New("transfer: the peer does not hold the manifest")
+
+// EncodeManifest writes a manifest for another process.
+func EncodeManifest(manifest *core.Manifest) *peerpb.ManifestReply {
+	chunks := make([]byte, 0, len(manifest.Chunks)*len(core.Digest{}))
+	for _, digest := range manifest.Chunks {
+		chunks = append(chunks, digest[:]...)
+	}
+	digest := manifest.Digest()
+	return &peerpb.ManifestReply{
+		SizeBytes: uint64(manifest.SizeBytes), ChunkBytes: uint64(manifest.ChunkBytes), Chunks: chunks, Digest: digest[:],
+	}
+}
+
+// DecodeManifest reads what EncodeManifest wrote and checks it. whole is the
+// digest of the whole that the version is known to have.
+func DecodeManifest(version core.VersionID, whole core.Digest, reply *peerpb.ManifestReply) (*core.Manifest, error) {
+	if reply.GetMissing() {
+		return nil, ErrNoManifest
+	}
+	manifest := &core.Manifest{
+		Version: version, Whole: whole, SizeBytes: int64(reply.GetSizeBytes()), ChunkBytes: int64(reply.GetChunkBytes()),
+	}
+	const size = len(core.Digest{})
+	packed := reply.GetChunks()
+	for ; len(packed) >= size; packed = packed[size:] {
+		manifest.Chunks = append(manifest.Chunks, core.Digest(packed[:size]))
+	}
+	if len(packed) > 0 {
+		return nil, fmt.Errorf("manifest %s: %d bytes are left over after the digests", version, len(packed))
+	}
+	if digest := manifest.Digest(); !bytes.Equal(digest[:], reply.GetDigest()) {
+		return nil, fmt.Errorf("manifest %s: damaged on its way", version)
+	}
+	return manifest, manifest.Validate()
+}
--- a/transfer/regions.go
+++ b/transfer/regions.go
@@ -70,7 +70,12 @@
 
 // senders returns how many gateways send to a region, 0 when self is not one.
 func (r *regionPacers) senders(region core.RegionID) int {
-	gateways := spread.Gateways(r.version, r.self.Region, region, r.members)
+	members := r.members
+	if !r.self.Relay {
+		// Asked by machines that have no answer from the relays.
+		members = slices.DeleteFunc(slices.Clone(members), func(m spread.Member) bool { return m.Relay && m.Region == r.self.Region })
+	}
+	gateways := spread.Gateways(r.version, r.self.Region, region, members)
 	isGateway := slices.ContainsFunc(gateways, func(m spread.Member) bool { return m.ID == r.self.ID })
 	if !isGateway {
 		return 0
--- /dev/null
+++ b/transfer/relay_test.go
@@ -0,0 +1,85 @@
+package transfer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/peerpb"
+	"github.com/zinniaseam/zinniaseam/spread"
+	"github.com/zinniaseam/zinniaseam/transfer"
+)
+
+func TestMachinesTakeTheWeightsFromRelaysAndSendNone(t *testing.T) {
+	g := NewWithT(t)
+	members := grid(2, 1, 4)
+	for _, m := range grid(2, 1, 2) {
+		m.ID += "-relay"
+		m.Relay = true
+		members = append(members, m)
+	}
+	c := startCluster(t, members, func(config *transfer.Config) {
+		config.Policy = "chunk_owner_quick"
+		if config.Self.Relay {
+			config.Staging = transfer.NewMemoryStaging(2)
+		}
+	})
+	data, m := weights("v1", 24, 1)
+	c.origin.add(data, m)
+	uploads := count(t, "upload_bytes")
+	c.want(t, m)
+	c.awaitAll(t, "v1")
+	g.Expect(c.origin.sent.Load()).To(BeNumerically(">=", m.SizeBytes))
+	// Eight machines and three relays that are not the first of a chunk; chunks that
+	// were asked for again come on top.
+	g.Expect(count(t, "upload_bytes") - uploads).To(BeNumerically(">=", 10*m.SizeBytes))
+	for _, member := range members {
+		progress, _ := c.nodes[member.ID].spreader.Progress("v1")
+		if !member.Relay {
+			g.Expect(progress.OriginBytes).To(BeZero(), string(member.ID))
+			g.Expect(c.nodes[member.ID].staging.gets.Load()).To(BeZero(), "chunks were read to be sent: "+string(member.ID))
+		}
+	}
+}
+
+func TestAChunkIsSentNoFasterThanTheReceiverAsks(t *testing.T) {
+	g := NewWithT(t)
+	members := []spread.Member{member(0, 0, 0), member(0, 0, 1)}
+	c := startCluster(t, members, func(config *transfer.Config) { config.PartBytes = 8 << 10 })
+	data, m := weights("v1", 2, 1)
+	c.origin.add(data, m)
+	c.want(t, m)
+	c.awaitAll(t, "v1")
+	const rate = 400 << 10 // 96 KiB in 0.24 s
+	began := time.Now()
+	stream, err := c.nodes[members[0].ID].client.FetchChunk(context.Background(), &peerpb.ChunkRequest{
+		Version: "v1", Index: 0, Digest: m.Chunks[0][:], Requester: string(members[1].ID), RequesterRegion: "r0", MaxRate: rate,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	received := 0
+	for received < testChunkBytes {
+		part, err := stream.Recv()
+		g.Expect(err).NotTo(HaveOccurred())
+		received += len(part.GetData())
+	}
+	g.Expect(time.Since(began)).To(BeNumerically(">=", time.Duration(0.8*testChunkBytes/rate*float64(time.Second))))
+}
+
+func TestMemoryStagingKeepsTheVersionsThatWereStagedLast(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	staging := transfer.NewMemoryStaging(2)
+	for _, version := range []core.VersionID{"v1", "v2", "v3"} {
+		g.Expect(staging.Put(ctx, version, 0, []byte(version))).To(Succeed())
+	}
+	_, err := staging.Get(ctx, "v1", 0)
+	g.Expect(err).To(MatchError(transfer.ErrNotStaged))
+	held, err := staging.Held(ctx, "v3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(held).To(Equal([]int{0}))
+	g.Expect(staging.Drop(ctx, "v3")).To(Succeed())
+	g.Expect(staging.Held(ctx, "v3")).To(BeEmpty())
+}
--- a/transfer/serve.go
+++ b/transfer/serve.go
@@ -65,7 +65,15 @@
 		s.reportLost(req, err)
 		return sendMissing(stream)
 	}
-	return s.send(stream, data, link, slot)
+	receiver := newPacer(int64(req.GetMaxRate()), s.config.PartBytes)
+	return s.send(stream, data, paces{upload: s.upload, receiver: receiver, link: link}, slot)
+}
+
+// paces are the budgets that the sending of one chunk keeps to.
+type paces struct {
+	upload, receiver *pacer
+	// link is that of the other region, nil within this one.
+	link *regionLink
 }
 
 func sendMissing(stream peerpb.Endpoint_FetchChunkServer) error {
@@ -167,22 +175,19 @@
 	}
 }
 
-// send streams a chunk in parts, paced by the upload budget and, across
-// regions, by the link's.
-func (s *Spreader) send(stream peerpb.Endpoint_FetchChunkServer, data []byte, link *regionLink, slot *uploadSlot) error {
+// send streams a chunk in parts, paced by the upload budget, by what the receiver
+// can take and, across regions, by the link's budget.
+func (s *Spreader) send(stream peerpb.Endpoint_FetchChunkServer, data []byte, by paces, slot *uploadSlot) error {
 	for len(data) > 0 {
 		n := min(s.config.PartBytes, len(data))
-		slot.pause()
-		if link != nil {
+		if by.link != nil {
 			n = min(regionPartBytes, n)
-			if err := paceWithHeartbeat(stream, link.pace, n); err != nil {
-				return err
-			}
-			metrics.Add("region_bytes", int64(n))
-			// What goes to another region is passed on there by many: it does not wait
-			// for what goes to the own zone.
-			s.upload.spend(n)
-		} else if err := paceWithHeartbeat(stream, s.upload, n); err != nil {
+		}
+		slot.pause()
+		if err := paceWithHeartbeat(stream, by.receiver, n); err != nil {
+			return err
+		}
+		if err := s.paceUpload(stream, by, n); err != nil {
 			return err
 		}
 		slot.progress()
@@ -195,6 +200,22 @@
 	return nil
 }
 
+// paceUpload takes n bytes of the budget of the link to another region, or of
+// this machine's.
+func (s *Spreader) paceUpload(stream peerpb.Endpoint_FetchChunkServer, by paces, n int) error {
+	if by.link == nil {
+		return paceWithHeartbeat(stream, by.upload, n)
+	}
+	if err := paceWithHeartbeat(stream, by.link.pace, n); err != nil {
+		return err
+	}
+	metrics.Add("region_bytes", int64(n))
+	// What goes to another region is passed on there by many: it does not wait
+	// for what goes to the own zone.
+	by.upload.spend(n)
+	return nil
+}
+
 // paceWithHeartbeat takes n tokens. While the budget is paused or spent for
 // longer, it shows the peer that the transfer goes on.
 func paceWithHeartbeat(stream peerpb.Endpoint_FetchChunkServer, pace *pacer, n int) error {
