Engines change version one after the other and tell gateways when

Cause: engines changed in three groups that began when the weights were there, nearly all at once; each waited for its longest call with most slots empty, and gateways heard of it 0.2 s later and sent calls in vain. Change: turns are evenly spaced over 0.3 to 0.84 of the time for a change, evenly in each zone; those that have just changed come in the second half. Agents tell the time of their turn, and gateways send an engine no call that is likely to outlast it (the caller's guess of the length is read). At its turn an engine loads a former version that is whole rather than wait over 0.7 s for the newest. An engine gets at most 0.2 s of reading ahead, so that one that has just become ready is not filled at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,9 @@
 	followers map[*follower]struct{}
 	// divider divides the engine's slots among followers.
 	divider *slotshare.Divider
+	// closesAt is when the engine will have other weights loaded, zero when none
+	// are planned.
+	closesAt time.Time
 	// unanswered counts the looks at the engine in a row that had no answer.
 	unanswered int
 }
@@ -127,6 +130,7 @@
 	}
 	a.spreader = spreader
 	a.loads = newLoads(config, spreader, staging, loader, origin, logger)
+	a.loads.onPlan = a.setClosing
 	return a, nil
 }
 
@@ -206,6 +210,14 @@
 	}
 }
 
+// setClosing has gateways told when the engine will have other weights loaded.
+func (a *Agent) setClosing(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closesAt = at
+	a.tell(a.news)
+}
+
 func wholeVersion(report EngineReport, layers int) int64 {
 	endpoint := fleet.Endpoint{Weights: report.Weights}
 	return endpoint.Holds(layers)
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
@@ -109,6 +110,9 @@
 		news.Divided, news.Granted = true, uint32(granted)
 	}
 	news.Relays = a.relays()
+	if !a.closesAt.IsZero() {
+		news.ClosesInMs = uint32(max(time.Until(a.closesAt).Milliseconds(), 1))
+	}
 	return news, a.changed
 }
 
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -34,6 +34,9 @@
 	// toldWait is how long a manifest is waited for that gateways are reading: a
 	// few round trips to the origin.
 	toldWait = 500 * time.Millisecond
+	// closingNotice is how long before a change gateways are told at the least: one
+	// interval of news and the way.
+	closingNotice = newsInterval + 100*time.Millisecond
 	// eventRing is how many results wait for the duty.
 	eventRing = 64
 	// newsRing is how many declarations of followers wait for the duty.
@@ -69,6 +72,11 @@
 	// held is the version that the engine reports, boot its start.
 	held int64
 	boot int64
+	// idle says that the engine ran no call when it was last looked at.
+	idle bool
+	// closing is the planned change, onPlan is told when it is.
+	closing closing
+	onPlan  func(at time.Time)
 	// changedAt is when the engine began to serve its present version after another.
 	changedAt time.Time
 }
@@ -233,6 +241,7 @@
 		}
 		l.boot, l.held = report.Boot, held
 	}
+	l.idle = report.Running+report.Waiting == 0
 	status := engine.Status{Boot: uint64(report.Boot), State: engine.StateEmpty}
 	if held > 0 && l.declared != nil {
 		status.State, status.Version = engine.StateReady, l.config.Version(l.declared.GetModel(), held)
@@ -291,13 +300,63 @@
 	}
 }
 
+// closing is the planned load of a version in the place of the one that is served.
+type closing struct {
+	version core.VersionID
+	at      time.Time
+}
+
 // advance reports the staged weights to the machine once the engine may change.
+// Gateways are told some time before, so that they send it no long calls.
 func (l *loads) advance(ctx context.Context) {
 	progress, known := l.spreader.Progress(l.wanted.Version)
-	if l.wanted == (activation.Target{}) || !known || !progress.Done || time.Now().Before(l.turnAt()) {
+	if l.wanted == (activation.Target{}) || !known || !progress.Done || l.served(l.wanted.Version) {
+		l.plan(closing{})
+		return
+	}
+	now, at := time.Now(), l.turnAt()
+	if l.held > 0 {
+		if l.closing.version != l.wanted.Version {
+			l.plan(closing{version: l.wanted.Version, at: l.closingTime(now, at)})
+		}
+		at = l.closing.at
+	}
+	if !now.Before(at) {
+		l.step(ctx, activation.Staged{Target: l.wanted})
+	}
+}
+
+// served reports whether the engine holds a version whole.
+func (l *loads) served(version core.VersionID) bool {
+	return l.held > 0 && l.declared != nil && l.config.Version(l.declared.GetModel(), l.held) == version
+}
+
+// plan notes when the engine is to change, and has gateways told.
+func (l *loads) plan(next closing) {
+	if next == l.closing {
 		return
 	}
-	l.step(ctx, activation.Staged{Target: l.wanted})
+	l.closing = next
+	if !next.at.IsZero() {
+		l.log.Info("The engine is to change.", "version", next.version, "formerVersion", l.held, "inMs", time.Until(next.at).Milliseconds())
+	}
+	l.onPlan(next.at)
+}
+
+// closingTime leaves gateways time to hear of a change; an engine without calls is
+// not waited for.
+func (l *loads) closingTime(now, turn time.Time) time.Time {
+	if l.idle {
+		return later(turn, now)
+	}
+	return later(turn, now.Add(closingNotice))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // turnAt returns from when the engine may change. An engine that serves nothing
@@ -308,11 +367,12 @@
 		return oldest.DeclaredAt
 	}
 	candidate := rollout.Candidate{
-		Self: core.VMID(l.config.EngineAddress), Version: oldest.ID, Limit: l.config.SwitchTime,
+		Self:    rollout.Place{ID: core.VMID(l.config.EngineAddress), Zone: l.config.Zone},
+		Version: oldest.ID, Limit: l.config.SwitchTime,
 		Recent: !l.changedAt.IsZero() && time.Since(l.changedAt) < l.config.SwitchTime,
 	}
 	for _, m := range l.engines {
-		candidate.Members = append(candidate.Members, m.ID)
+		candidate.Members = append(candidate.Members, rollout.Place{ID: m.ID, Zone: m.Zone})
 	}
 	return oldest.DeclaredAt.Add(rollout.TurnAfter(candidate))
 }
--- a/experiment/placing/load.go
+++ b/experiment/placing/load.go
@@ -20,6 +20,9 @@
 	worth, lateWorth float64
 }
 
+// hintSpread is the standard deviation of the logarithm of a caller's guess.
+const hintSpread = 0.5
+
 // patience is how long callers wait in all.
 const patience = 6 * time.Second
 
@@ -35,8 +38,10 @@
 	kind           *kind
 	gateway        int
 	prompt, output int
-	arrived        time.Time
-	returned       bool
+	// hint is the caller's guess of output.
+	hint     int
+	arrived  time.Time
+	returned bool
 	// firstAt is when its first event reached the caller.
 	firstAt time.Time
 }
@@ -70,6 +75,7 @@
 	}
 	c.prompt = logNormal(random, c.kind.prompt, c.kind.promptSpread, c.kind.maxPrompt)
 	c.output = logNormal(random, c.kind.answer, c.kind.answerSpread, c.kind.maxAnswer)
+	c.hint = max(1, int(float64(c.output)*math.Exp(random.NormFloat64()*hintSpread)))
 	c.gateway = pick(random, gatewayShare)
 	return c
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -26,9 +26,10 @@
 	Patience time.Duration
 	// Key is the team's key; empty when there is none.
 	Key string
-	// Model, PromptTokens and OutputTokens describe a model call.
-	Model                      string
-	PromptTokens, OutputTokens int
+	// Model and PromptTokens describe a model call. OutputTokens is how long its
+	// answer is expected to be, often far off, and MaxOutputTokens the most.
+	Model                                       string
+	PromptTokens, OutputTokens, MaxOutputTokens int
 	// LastEvent is the ID of the last event that the caller already has.
 	LastEvent string
 }
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -320,7 +320,7 @@
 		lost := p.EngineNews(placement.EngineNews{
 			Address: news.GetEngine(), Boot: news.GetBoot(), Running: int(news.GetRunning()), Waiting: int(news.GetWaiting()),
 			Loading: news.GetLoading(), Version: news.GetVersion(), Unreachable: news.GetUnreachable(), At: now,
-			Granted: grantedSlots(news),
+			Granted: grantedSlots(news), ClosesAt: closesAt(now, news),
 		})
 		for _, ticket := range lost {
 			if abandon, open := s.open[ticket]; open {
@@ -338,3 +338,12 @@
 	}
 	return int(news.GetGranted())
 }
+
+// closesAt returns when an engine will have other weights loaded, 0 when that is
+// not planned.
+func closesAt(now boottime.Instant, news *peerpb.EngineNews) boottime.Instant {
+	if news.GetClosesInMs() == 0 {
+		return 0
+	}
+	return now.Add(time.Duration(news.GetClosesInMs()) * time.Millisecond)
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -125,7 +125,7 @@
 func (s *scheduler) started(ticket *placement.Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.placer.Started(ticket)
+	s.placer.Started(s.now(), ticket)
 }
 
 func (s *scheduler) ended(ticket *placement.Ticket, ending placement.Ending) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -260,7 +260,8 @@
 	g.scheduler.ended(ticket, ending)
 	g.log.Info("Attempt ended.", "request", s.admitted.call.ID, "route", s.admitted.route.Name, "endpoint", endpoint.ID,
 		"status", answer.Status, "ending", ending, "events", s.events, "patienceMs", s.admitted.call.Patience.Milliseconds(), "returned", s.admitted.returned, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
-		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds())
+		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds(),
+		"prompt", s.admitted.call.PromptTokens, "output", s.admitted.call.OutputTokens, "maxOutput", s.admitted.call.MaxOutputTokens)
 	return next
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -24,7 +24,7 @@
 			healthy++
 			of = &sound
 		}
-		if p.hasRoom(now, e) {
+		if p.hasRoom(now, e, request) {
 			of.offer(e, e.expect(now, request)+p.distance(e), p.config.Random)
 		}
 	}
@@ -69,7 +69,7 @@
 			return false
 		}
 	}
-	return e.profile == nil || p.servable(now, e)
+	return e.profile == nil || p.servable(now, e) && !e.closing(now, request)
 }
 
 // servable reports whether an engine holds weights that may begin work.
@@ -78,10 +78,7 @@
 	if held == 0 || e.loading(now) {
 		return false
 	}
-	margin := versionMargin
-	if e.health.doubtful() {
-		margin = doubtfulMargin
-	}
+	margin := p.versionMargin(now, e)
 	for _, model := range e.profile.Models {
 		for _, declared := range p.declared[model] {
 			if held < declared.version && now.Sub(declared.since) > p.config.VersionSwitch-margin {
@@ -92,11 +89,11 @@
 	return true
 }
 
-func (p *Placer) hasRoom(now boottime.Instant, e *endpointState) bool {
+func (p *Placer) hasRoom(now boottime.Instant, e *endpointState, request *Request) bool {
 	if now.Before(e.closedUntil) {
 		return false
 	}
-	if e.full(now) {
+	if e.full(now) || e.reading(now, request) {
 		return false
 	}
 	return !p.coldFull(now, e)
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -28,6 +28,9 @@
 	Loading bool
 	// Version is the newest of which it holds all layers, 0 for none.
 	Version int64
+	// ClosesAt is when the agent will have other weights loaded, from which on the
+	// engine starts no call; 0 when it is not planned.
+	ClosesAt boottime.Instant
 	// Unreachable says that the engine did not answer its agent.
 	Unreachable bool
 	// Granted is how many slots this process may fill, by the agent's division
@@ -88,6 +91,31 @@
 	return e.news.At != 0 && now.Sub(e.news.At) < newsLife && e.news.Loading
 }
 
+// closing reports whether the engine will have other weights loaded before a
+// call is likely to have ended.
+//
+// Load pattern answered: the engines of a full pool change version one after the
+// other, and each waits for its longest call with most of its slots empty. Long
+// calls go to engines whose turn is far off, short ones fill the others.
+func (e *endpointState) closing(now boottime.Instant, request *Request) bool {
+	if e.news.ClosesAt == 0 || now.Sub(e.news.At) >= newsLife {
+		return false
+	}
+	return !now.Add(e.duration(request)).Before(e.news.ClosesAt)
+}
+
+// duration predicts how long a call will run.
+func (e *endpointState) duration(request *Request) time.Duration {
+	passes := (request.OutputTokens + e.profile.StepsPerPass - 1) / e.profile.StepsPerPass
+	return time.Duration(passes)*e.fullPass() + e.readTime(request.PromptTokens)
+}
+
+// fullPass is the time of a pass of a full engine with the prompts that are
+// usually read in it.
+func (e *endpointState) fullPass() time.Duration {
+	return e.passTime(e.Slots) + e.readTime(e.profile.UsualPrompt)*3/4
+}
+
 // unread returns the prompt tokens of own calls that have no first event yet.
 func (e *endpointState) unread() int {
 	tokens := 0
@@ -229,6 +257,24 @@
 	return len(e.open)
 }
 
+// readAhead is how much reading of prompts, all gateways together, an engine is
+// given ahead: half of the time in which first events are usually due.
+const readAhead = 200 * time.Millisecond
+
+// reading reports whether this process's part of the reading ahead is used up.
+//
+// Load pattern answered: an engine with no calls becomes ready while calls wait at
+// all gateways. Filled at once, it would read all prompts before it writes its
+// first token, and each of the calls would be late.
+func (e *endpointState) reading(now boottime.Instant, request *Request) bool {
+	if e.profile == nil || !e.divided(now) {
+		return false
+	}
+	unread := e.unread()
+	part := float64(e.news.Granted) / float64(e.Slots)
+	return unread > 0 && e.readTime(unread+request.PromptTokens) > time.Duration(part*float64(readAhead))
+}
+
 // free returns how many slots this process may fill now.
 func (e *endpointState) free(now boottime.Instant) int {
 	if e.divided(now) {
--- a/placement/health.go
+++ b/placement/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 const (
@@ -55,3 +56,44 @@
 }
 
 func (w *window) add(now boottime.Instant) { w.at = append(w.at, now) }
+
+// slowestLife is how long the slowest first byte counts in full.
+const slowestLife = 5 * time.Second
+
+// slowest is the longest of the times seen of late.
+type slowest struct {
+	took time.Duration
+	at   boottime.Instant
+}
+
+// of returns the longest time of the last seconds, 0 when none was seen.
+func (s *slowest) of(now boottime.Instant) time.Duration {
+	if s.at == 0 || now.Sub(s.at) > slowestLife {
+		return 0
+	}
+	return s.took
+}
+
+func (s *slowest) add(now boottime.Instant, took time.Duration) {
+	if took >= s.of(now) {
+		s.took, s.at = took, now
+	}
+}
+
+func (p *Placer) slowestOf(service core.ServiceID) *slowest {
+	s := p.slowest[service]
+	if s == nil {
+		s = &slowest{}
+		p.slowest[service] = s
+	}
+	return s
+}
+
+// versionMargin is how long before the end of the time for older weights an
+// endpoint gets no more calls on them.
+func (p *Placer) versionMargin(now boottime.Instant, e *endpointState) time.Duration {
+	if e.health.doubtful() {
+		return doubtfulMargin
+	}
+	return min(max(2*p.slowestOf(e.Service).of(now)+leastVersionMargin/2, leastVersionMargin), maxVersionMargin)
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -43,12 +43,17 @@
 func (p *Placer) hasOther(now boottime.Instant, ticket *Ticket) bool {
 	request := ticket.Request
 	return slices.ContainsFunc(p.byService[request.Service], func(e *endpointState) bool {
-		return e != ticket.endpoint && p.may(now, e, &request) && p.hasRoom(now, e) && !e.health.avoided(now) && !e.unresponsive(now)
+		return e != ticket.endpoint && p.may(now, e, &request) && p.hasRoom(now, e, &request) && !e.health.avoided(now) && !e.unresponsive(now)
 	})
 }
 
 // Started says that the first byte of an answer has come.
-func (p *Placer) Started(ticket *Ticket) { ticket.started = true }
+func (p *Placer) Started(now boottime.Instant, ticket *Ticket) {
+	ticket.started = true
+	if e := ticket.endpoint; e != nil {
+		p.slowestOf(e.Service).add(now, now.Sub(ticket.sentAt))
+	}
+}
 
 // Ending is how a call at an endpoint ended.
 type Ending uint8
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -39,10 +39,13 @@
 	zoneCost   = 2 * time.Millisecond
 	// refusedFor is how long an endpoint is passed over that refused a call.
 	refusedFor = 100 * time.Millisecond
-	// versionMargin is kept from the time in which older weights may begin work: a
-	// call begins with its first token, which a full engine writes up to 1.2 s after
-	// the call was sent.
-	versionMargin = 1500 * time.Millisecond
+	// leastVersionMargin is kept from the time in which older weights may begin work:
+	// a call begins with its first token, which a full engine writes up to 0.4 s
+	// after the call was sent, and a declaration is known up to 0.2 s late. The
+	// margin grows with the slowest first token of the service in the last seconds,
+	// up to maxVersionMargin.
+	leastVersionMargin = time.Second
+	maxVersionMargin   = 2 * time.Second
 	// doubtfulMargin is the same for endpoints that fail or do not respond: calls
 	// may wait on a narrow link for seconds.
 	doubtfulMargin = 5 * time.Second
@@ -58,8 +61,9 @@
 	// declared are the weights of each model, in the order in which this process
 	// learned of them.
 	declared map[string][]declaredVersion
-	// demand is what comes for each service.
-	demand map[core.ServiceID]*demand
+	// demand is what comes for each service, slowest its longest time to a first byte.
+	demand  map[core.ServiceID]*demand
+	slowest map[core.ServiceID]*slowest
 }
 
 type declaredVersion struct {
@@ -72,7 +76,7 @@
 	return &Placer{
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, declared: map[string][]declaredVersion{},
-		demand: map[core.ServiceID]*demand{},
+		demand: map[core.ServiceID]*demand{}, slowest: map[core.ServiceID]*slowest{},
 	}
 }
 
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -35,10 +35,10 @@
 	// stallTime is how long no chunk may come before a spread counts as stalled.
 	stallTime = 900 * time.Millisecond
 	// spreadShare is the part of the limit that a spread usually takes.
-	spreadShare = 0.5
-	// lateSlack is how long an endpoint rather serves nothing than waits for its
-	// calls twice.
-	lateSlack = 3 * time.Second
+	spreadShare = 0.3
+	// worthWaiting is how long an endpoint whose turn has come waits for the newest
+	// version rather than to change twice: about what a change costs it.
+	worthWaiting = 700 * time.Millisecond
 )
 
 // Stage returns the version to stage, and to load when it is whole.
@@ -62,7 +62,7 @@
 		return newest.Version
 	case former.Share < 1 && (least == 0 || !former.stalled(c.Now)):
 		return former.Version
-	case former.Share >= 1 && c.prefers(former, newest):
+	case former.Share >= 1 && c.prefers(newest):
 		return former.Version
 	}
 	return newest.Version
@@ -81,20 +81,15 @@
 	return best
 }
 
-// prefers reports whether a former version that is whole is loaded first.
-func (c Choice) prefers(former, newest *Pending) bool {
-	due := c.Now
-	if c.Serving {
-		due = c.Pending[0].DeclaredAt.Add(c.Limit)
-		switch {
-		case c.TurnAt.After(c.Now):
-			return false
-		case c.TurnAt.Before(newest.DeclaredAt):
-			return true
-		}
+// prefers reports whether a former version that is whole is loaded first. Those
+// whose turn comes before the newest version is there change twice, so that not
+// all change in the little time that is left for the oldest one.
+func (c Choice) prefers(newest *Pending) bool {
+	if c.Serving && c.TurnAt.After(c.Now) {
+		return false
 	}
 	expected, known := newest.expected(c.Now, time.Duration(spreadShare*float64(c.Limit)))
-	return !known || expected.After(due.Add(lateSlack))
+	return !known || expected.After(c.Now.Add(worthWaiting))
 }
 
 // stalled reports whether the version is being staged and nothing comes.
--- a/rollout/turns.go
+++ b/rollout/turns.go
@@ -11,22 +11,25 @@
 )
 
 const (
-	// turns is how many groups of endpoints change version one after the other, so
-	// that most of the capacity goes on serving.
-	turns = 3
 	// firstTurn and lastTurn are the parts of the time for a change at which the
-	// first and the last group begin. Weights take some 0.4 of it to spread, and
-	// running calls some 0.3 to end.
-	firstTurn = 0.36
-	lastTurn  = 0.68
+	// first and the last endpoint begin. Weights take some 0.3 of it to spread, and
+	// the last turn leaves time for one more attempt; running calls may end later.
+	firstTurn = 0.3
+	lastTurn  = 0.84
 )
 
+// Place is where an endpoint stands that is to change.
+type Place struct {
+	ID   core.VMID
+	Zone core.ZoneID
+}
+
 // Candidate is an endpoint that is to change to a declared version.
 type Candidate struct {
-	Self    core.VMID
+	Self    Place
 	Version core.VersionID
 	// Members are all endpoints that are to change.
-	Members []core.VMID
+	Members []Place
 	// Limit is the time within which all must have changed.
 	Limit time.Duration
 	// Recent says that the endpoint changed to its present version within the limit.
@@ -34,27 +37,47 @@
 }
 
 // TurnAfter returns how long after the declaration an endpoint may change.
-// Members with the same list work out the same groups.
+// Members with the same list work out the same turns.
 //
 // Load pattern answered: the whole load goes on while all endpoints change, and
-// each that changes first waits for its calls. One that has just changed goes
-// last: the version that it serves may be served longest.
+// each that changes first waits for its calls. One after the other, evenly in
+// each availability zone, leaves the most capacity at any moment. Those that have
+// just changed go in the second half: the version that they serve may be served
+// longest.
 func TurnAfter(c Candidate) time.Duration {
-	group := turns - 1
-	if !c.Recent {
-		group = c.group()
+	part := c.part()
+	if c.Recent {
+		part = 0.5 + part/2
 	}
-	share := firstTurn + (lastTurn-firstTurn)*float64(group)/float64(turns-1)
-	return time.Duration(share * float64(c.Limit))
+	return time.Duration((firstTurn + (lastTurn-firstTurn)*part) * float64(c.Limit))
 }
 
-func (c Candidate) group() int {
-	order := append(slices.Clone(c.Members), c.Self)
-	slices.SortFunc(order, func(a, b core.VMID) int {
-		return cmp.Or(cmp.Compare(turnHash(a, c.Version), turnHash(b, c.Version)), cmp.Compare(a, b))
+// part is the endpoint's place in the order of turns, from 0 to 1.
+func (c Candidate) part() float64 {
+	zones := map[core.ZoneID][]Place{}
+	for _, m := range append(slices.Clone(c.Members), c.Self) {
+		if !slices.Contains(zones[m.Zone], m) {
+			zones[m.Zone] = append(zones[m.Zone], m)
+		}
+	}
+	type ranked struct {
+		place Place
+		share float64
+	}
+	var order []ranked
+	for _, places := range zones {
+		slices.SortFunc(places, func(a, b Place) int {
+			return cmp.Or(cmp.Compare(turnHash(a.ID, c.Version), turnHash(b.ID, c.Version)), cmp.Compare(a.ID, b.ID))
+		})
+		for i, place := range places {
+			order = append(order, ranked{place: place, share: (float64(i) + 0.5) / float64(len(places))})
+		}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(turnHash(a.place.ID, c.Version), turnHash(b.place.ID, c.Version)), cmp.Compare(a.place.ID, b.place.ID))
 	})
-	order = slices.Compact(order)
-	return slices.Index(order, c.Self) * turns / len(order)
+	index := slices.IndexFunc(order, func(r ranked) bool { return r.place == c.Self })
+	return float64(index) / float64(max(len(order)-1, 1))
 }
 
 func turnHash(vm core.VMID, version core.VersionID) uint64 {
