Gateways of a zone lend each other slots; near engines are wanted more

Cause: with many gateways each owns few slots of each engine; calls wait at one while slots of others are free for a moment. Engines that reported room were used by all gateways at once meanwhile. Change: a gateway without a free slot asks up to two others of its zone for one (25 ms at the most) and gives it back; loans end by themselves after 8 s. A gateway fills its own and lent slots alone. What it wants of engines in its zone and region counts four and three times, so that few calls go between regions. Fresh calls wait 0.15 s at the most, whatever their objective. The last turn of a change of version is at 0.9 of the time. Ruled out: turning away at once who came back while nothing was free (as much worth, a third more callers turned away twice), more grants than slots.

--- a/experiment/placing/experiment.go
+++ b/experiment/placing/experiment.go
@@ -13,10 +13,18 @@
 	experiment.Experiments.Register("placing", func() experiment.Run { return RunExperiment })
 }
 
-// sevenGateways and manyGateways get uneven parts of the callers, as those of a
-// balancer that hashes callers do.
+// sevenGateways get uneven parts of the callers, as from a balancer that hashes them.
 var sevenGateways = []float64{1, 1.3, 0.8, 1.2, 0.7, 1.1, 0.9}
 
+// manyGateways are those of a grown deployment.
+func manyGateways() []float64 {
+	shares := make([]float64, 34)
+	for i := range shares {
+		shares[i] = 0.6 + float64(i%5)*0.2
+	}
+	return shares
+}
+
 // Scenarios are the loads that the measurement replays.
 func Scenarios() []Scenario {
 	full := []Step{{0, 24}}
@@ -25,21 +33,34 @@
 		{Name: "usual load", Engines: full, Load: usual, Length: 20 * time.Second},
 		{Name: "a third of the engines lost", Engines: []Step{{0, 24}, {6 * time.Second, 16}}, Load: usual, Length: 24 * time.Second},
 		{Name: "burst of 1.7", Engines: full, Load: []Step{{0, 218}, {6 * time.Second, 370}, {9 * time.Second, 218}}, Length: 18 * time.Second},
+		{Name: "engines change version", Engines: full, Load: usual, Length: 18 * time.Second, Change: &Change{
+			At: 6 * time.Second, Whole: 2300 * time.Millisecond, First: 2400 * time.Millisecond, Last: 7200 * time.Millisecond, Announced: true,
+		}},
 		{Name: "half of the engines away for 4 s", Engines: []Step{{0, 24}, {6 * time.Second, 12}, {10 * time.Second, 24}}, Load: usual, Length: 20 * time.Second},
 	}
 }
 
+// Way is how gateways share the slots of engines.
+type Way struct {
+	Name               string
+	Undivided, Lending bool
+}
+
+// ways are those that the measurement compares.
+var ways = []Way{{Name: "shared", Undivided: true}, {Name: "divided"}, {Name: "divided, lent", Lending: true}}
+
 // Row is the result of one scenario with one way of placing.
 type Row struct {
-	Scenario  string  `json:"scenario"`
-	Gateways  int     `json:"gateways"`
-	Undivided bool    `json:"undivided"`
-	Share     float64 `json:"share"`
-	Total     Count   `json:"total"`
-	Queued    float64 `json:"queuedInEngines"`
+	Scenario string  `json:"scenario"`
+	Gateways int     `json:"gateways"`
+	Way      string  `json:"way"`
+	Share    float64 `json:"share"`
+	Total    Count   `json:"total"`
+	Queued   float64 `json:"queuedInEngines"`
+	Borrowed int     `json:"borrowed"`
 }
 
-// RunExperiment replays the scenarios with and without divided slots.
+// RunExperiment replays the scenarios with each way of sharing slots.
 func RunExperiment(ctx context.Context, options experiment.Options) error {
 	var rows []Row
 	scenarios := Scenarios()
@@ -47,13 +68,13 @@
 		scenarios = scenarios[:2]
 	}
 	for _, scenario := range scenarios {
-		for _, shares := range [][]float64{{1}, sevenGateways} {
-			for _, undivided := range []bool{true, false} {
+		for _, shares := range [][]float64{sevenGateways, manyGateways()} {
+			for _, way := range ways {
 				if err := ctx.Err(); err != nil {
 					return err
 				}
-				scenario.GatewayShares, scenario.Undivided = shares, undivided
-				rows = append(rows, row(scenario, Run(scenario, options.Seed)))
+				scenario.GatewayShares, scenario.Undivided, scenario.Lending = shares, way.Undivided, way.Lending
+				rows = append(rows, row(scenario, way, Run(scenario, options.Seed)))
 			}
 		}
 	}
@@ -63,23 +84,19 @@
 	return printRows(options, rows)
 }
 
-func row(scenario Scenario, tally *Tally) Row {
+func row(scenario Scenario, way Way, tally *Tally) Row {
 	return Row{
-		Scenario: scenario.Name, Gateways: len(scenario.GatewayShares), Undivided: scenario.Undivided,
-		Share: tally.Total.Share(), Total: tally.Total, Queued: tally.QueuedShare(),
+		Scenario: scenario.Name, Gateways: len(scenario.GatewayShares), Way: way.Name,
+		Share: tally.Total.Share(), Total: tally.Total, Queued: tally.QueuedShare(), Borrowed: tally.Borrowed,
 	}
 }
 
 func printRows(options experiment.Options, rows []Row) error {
 	w := tabwriter.NewWriter(options.Out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "load\tgateways\tslots\tworth\tasked\ton time\tlate\trefused\tagain\tqueued in engines")
+	fmt.Fprintln(w, "load\tgateways\tslots\tworth\tasked\ton time\tlate\trefused\tagain\tqueued in engines\tborrowed")
 	for _, r := range rows {
-		slots := "divided"
-		if r.Undivided {
-			slots = "shared"
-		}
-		fmt.Fprintf(w, "%s\t%d\t%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.3f\n", r.Scenario, r.Gateways, slots, r.Share,
-			r.Total.Asked, r.Total.OnTime, r.Total.Late, r.Total.Refused, r.Total.RefusedAgain, r.Queued)
+		fmt.Fprintf(w, "%s\t%d\t%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\n", r.Scenario, r.Gateways, r.Way, r.Share,
+			r.Total.Asked, r.Total.OnTime, r.Total.Late, r.Total.Refused, r.Total.RefusedAgain, r.Queued, r.Borrowed)
 	}
 	return w.Flush()
 }
--- a/experiment/placing/fleet.go
+++ b/experiment/placing/fleet.go
@@ -19,6 +19,10 @@
 	// callerLatency and engineLatency are one way.
 	callerLatency = 3 * time.Millisecond
 	engineLatency = time.Millisecond
+	// zoneLatency is that between two gateways of a zone.
+	zoneLatency = 300 * time.Microsecond
+	// emptyTime is how long a gateway is not asked again that had no slot to lend.
+	emptyTime = 50 * time.Millisecond
 	// newsInterval is how often an engine's agent tells its load.
 	newsInterval = 200 * time.Millisecond
 	pumpInterval = 10 * time.Millisecond
@@ -50,6 +54,8 @@
 	Load    []Step
 	// GatewayShares are the parts of the callers that come to each gateway.
 	GatewayShares []float64
+	// Lending has gateways of a zone lend each other slots.
+	Lending bool
 	// Change declares another version.
 	Change *Change
 	// Undivided leaves the slots of engines to whoever comes first.
--- a/experiment/placing/gateway.go
+++ b/experiment/placing/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
@@ -16,11 +17,16 @@
 	deployment *deployment
 	placer     *placement.Placer
 	waiting    map[*placement.Ticket]*call
+	// zone is the index of its zone; emptyUntil is until when a peer counts as one
+	// that has nothing to lend.
+	zone       int
+	emptyUntil map[*gateway]boottime.Instant
+	lent       map[*placement.Ticket]func()
 }
 
 func newGateway(d *deployment, index int, view *fleet.View) *gateway {
 	zone := index % 3
-	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{
+	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, zone: zone, emptyUntil: map[*gateway]boottime.Instant{}, lent: map[*placement.Ticket]func(){}, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{
 		Zone: core.ZoneID("z" + string(rune('0'+zone))), Region: core.RegionID("r" + string(rune('0'+zone))),
 		VersionSwitch: 8 * time.Second, ColdShare: 1, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
 	})}
@@ -58,11 +64,69 @@
 
 func (g *gateway) submit(c *call, request placement.Request) {
 	ticket := g.placer.Submit(g.deployment.now(), request)
-	if ticket.Decision().Verdict == placement.Wait {
+	switch ticket.Decision().Verdict {
+	case placement.Wait:
 		g.waiting[ticket] = c
-		return
+		g.borrow(ticket, c, 2)
+	case placement.Reject:
+		if !g.borrow(ticket, c, 2) {
+			g.act(ticket, c)
+		}
+	default:
+		g.act(ticket, c)
+	}
+}
+
+// borrow asks another gateway of the zone for a slot; it reports whether one was asked.
+func (g *gateway) borrow(ticket *placement.Ticket, c *call, tries int) bool {
+	d := g.deployment
+	if !d.scenario.Lending || tries == 0 {
+		return false
+	}
+	var peers []*gateway
+	for _, peer := range d.gateways {
+		if peer != g && peer.zone == g.zone && !d.now().Before(g.emptyUntil[peer]) {
+			peers = append(peers, peer)
+		}
+	}
+	if len(peers) == 0 {
+		return false
+	}
+	peer := peers[d.random.IntN(len(peers))]
+	d.clock.After(zoneLatency, func() {
+		loan := peer.placer.Lend(d.now(), ticket.Request)
+		d.clock.After(zoneLatency, func() { g.borrowed(ticket, c, peer, loan, tries) })
+	})
+	return true
+}
+
+func (g *gateway) borrowed(ticket *placement.Ticket, c *call, peer *gateway, loan *placement.Ticket, tries int) {
+	d := g.deployment
+	giveBack := func() {
+		d.clock.After(zoneLatency, func() { peer.placer.Ended(d.now(), loan, placement.EndLeft); peer.pump() })
+	}
+	_, waits := g.waiting[ticket]
+	rejected := ticket.Decision().Verdict == placement.Reject
+	switch {
+	case loan == nil:
+		g.emptyUntil[peer] = d.now().Add(emptyTime)
+		if g.borrow(ticket, c, tries-1) || waits || !rejected {
+			return
+		}
+		g.act(ticket, c)
+	case !waits && !rejected:
+		giveBack()
+	case !g.placer.Borrowed(d.now(), ticket, loan.Decision().Endpoint.ID, loan.Decision().Expected):
+		giveBack()
+		if rejected {
+			g.act(ticket, c)
+		}
+	default:
+		delete(g.waiting, ticket)
+		g.lent[ticket] = giveBack
+		d.tally.Borrowed++
+		g.act(ticket, c)
 	}
-	g.act(ticket, c)
 }
 
 // pump acts on the waiting calls that have a verdict.
@@ -122,6 +186,10 @@
 				ending = placement.EndFailed
 			}
 			g.placer.Ended(d.now(), ticket, ending)
+			if giveBack := g.lent[ticket]; giveBack != nil {
+				giveBack()
+				delete(g.lent, ticket)
+			}
 			d.tally.ended(c, whole)
 			g.pump()
 		})
@@ -134,6 +202,10 @@
 // refused places a call again that an engine rejected.
 func (g *gateway) refused(ticket *placement.Ticket, c *call, id fleet.EndpointID) {
 	g.placer.Ended(g.deployment.now(), ticket, placement.EndRefused)
+	if giveBack := g.lent[ticket]; giveBack != nil {
+		giveBack()
+		delete(g.lent, ticket)
+	}
 	g.deployment.tally.Rejections++
 	request := ticket.Request
 	request.Tried = append(append([]fleet.EndpointID(nil), request.Tried...), id)
--- a/experiment/placing/placing_test.go
+++ b/experiment/placing/placing_test.go
@@ -12,15 +12,23 @@
 	fullShare = 0.98
 	// lostEngines is the least part of the worth when engines bear 0.92 of the load.
 	lostEngines = 0.8
+	// manyShare is the least part of the worth of a load within the capacity that
+	// comes by many gateways.
+	manyShare = 0.97
 	// fewQueued is the largest part of calls that may wait inside engines.
 	fewQueued = 0.1
 )
 
 func replay(name string, undivided bool) *Tally {
+	scenario := findScenario(name)
+	scenario.GatewayShares, scenario.Undivided = sevenGateways, undivided
+	return Run(scenario, 1)
+}
+
+func findScenario(name string) Scenario {
 	for _, scenario := range Scenarios() {
 		if scenario.Name == name {
-			scenario.GatewayShares, scenario.Undivided = sevenGateways, undivided
-			return Run(scenario, 1)
+			return scenario
 		}
 	}
 	panic("no scenario " + name)
@@ -40,6 +48,38 @@
 	g.Expect(divided.Total.Share()).To(BeNumerically(">", shared.Total.Share()))
 }
 
+func TestManyGatewaysLendEachOtherSlots(t *testing.T) {
+	g := NewWithT(t)
+	scenario := Scenarios()[0]
+	scenario.GatewayShares = manyGateways()
+	alone := Run(scenario, 1).Total.Share()
+	scenario.Lending = true
+	lent := Run(scenario, 1)
+	t.Logf("worth %.3f with own slots alone, %.3f with lent ones; %d calls of %d in lent slots", alone, lent.Total.Share(), lent.Borrowed, lent.Begun)
+	g.Expect(lent.Total.Share()).To(BeNumerically(">=", manyShare))
+	g.Expect(lent.Total.Share()).To(BeNumerically(">", alone))
+}
+
+func TestTurnsThatAreToldKeepMoreOfAFullPoolsWorth(t *testing.T) {
+	g := NewWithT(t)
+	const seeds = 6
+	worth, rejections := map[bool]float64{}, map[bool]int{}
+	for _, told := range []bool{true, false} {
+		for seed := range uint64(seeds) {
+			scenario := findScenario("engines change version")
+			change := *scenario.Change
+			change.Announced = told
+			scenario.Change, scenario.GatewayShares = &change, sevenGateways
+			tally := Run(scenario, seed+1)
+			worth[told] += tally.Total.Share() / seeds
+			rejections[told] += tally.Rejections
+		}
+	}
+	t.Logf("worth %.3f with turns that are told, %.3f without; %d and %d calls rejected by engines", worth[true], worth[false], rejections[true], rejections[false])
+	g.Expect(worth[true]).To(BeNumerically(">", worth[false]))
+	g.Expect(rejections[true]).To(BeNumerically("<", rejections[false]/10))
+}
+
 func TestNoSizeIsLeftOutWhenTooFewEnginesAreLeft(t *testing.T) {
 	total := replay("a third of the engines lost", false).Total
 	served := float64(total.OnTime+total.Late) / float64(total.Asked)
--- a/experiment/placing/tally.go
+++ b/experiment/placing/tally.go
@@ -15,6 +15,8 @@
 	Total   Count
 	// Rejections counts calls that engines rejected.
 	Rejections int
+	// Borrowed counts calls that ran in slots of other gateways.
+	Borrowed int
 	// Begun counts calls that entered a batch, Queued those of them that waited
 	// inside the engine for longer than queuedLong.
 	Begun, Queued int
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -255,6 +255,7 @@
 		all = append(all, byAddress[address])
 	}
 	a.gateway.relay.takeRelays(all)
+	a.scheduler.lender.setPeers(all)
 }
 
 // tell sends what changes until the stream ends; the receiving side reports why.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,7 @@
 		pool: pool, port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*followed{},
 	}
+	g.scheduler.lender = newLender(config.Relay, pool, g.scheduler, logger)
 	relay.onManifest, relay.holders = g.agents.wakeAll, g.agents.holders
 	holder.OnChange(g.scheduler.setView)
 	holder.OnChange(g.agents.setView)
@@ -136,7 +137,7 @@
 	process.AddDuty("placement", g.scheduler.run)
 	process.AddDuty("agents", g.agents.run)
 	process.AddDuty("wants", g.agents.tellWants)
-	process.AddDuty("peers", g.relay.serve)
+	process.AddDuty("peers", func(ctx context.Context) error { return g.relay.serve(ctx, g.scheduler.lender) })
 	process.AddDuty("weights", g.relay.run)
 	process.AddDuty("spread", g.relay.spreader.Run)
 	process.AddDuty("sweep", g.sweep)
@@ -174,6 +175,7 @@
 		case <-ticker.C:
 			g.pool.Sweep()
 			g.holder.Expire()
+			g.scheduler.lender.expire()
 		}
 	}
 }
--- /dev/null
+++ b/gateway/lend_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/catalogue"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/logging"
+	"github.com/zinniaseam/zinniaseam/peerpb"
+	"github.com/zinniaseam/zinniaseam/peers"
+	"github.com/zinniaseam/zinniaseam/placement"
+)
+
+// lendingGateway is the part of a gateway that places calls and lends slots,
+// before one engine.
+func lendingGateway(t *testing.T, granted int) (*scheduler, string) {
+	t.Helper()
+	g := NewWithT(t)
+	view := fleet.NewView()
+	view.Deployment = &catalogue.Deployment{Services: map[core.ServiceID]catalogue.Backend{"s": {Name: "s", Engine: &catalogue.EngineProfile{
+		BatchSlots: 4, Step: time.Millisecond, StepsPerPass: 1, PromptTokensPerSecond: 1e6, Layers: 1,
+	}}}}
+	view.Endpoints["e"] = &fleet.Endpoint{
+		ID: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z", Region: "r", Slots: 4, Boot: 1,
+		Weights: []fleet.LoadedLayers{{Model: "m", Version: 1, To: 1}},
+	}
+	placer := placement.New(placement.Config{Zone: "z", Region: "r", ColdShare: 1, VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, 1))})
+	s := newScheduler(placer, boottime.Now)
+	s.setView(view)
+	s.update(func(p *placement.Placer, now boottime.Instant) {
+		p.EngineNews(placement.EngineNews{Address: "10.0.0.1:80", Boot: 1, Version: 1, Granted: granted, At: now})
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	s.lender = newLender(RelayConfig{Listen: address, Zone: "z"}, peers.NewPool("", peers.Security{}), s, logging.Discard())
+	server := peers.NewServer(peers.Security{})
+	peerpb.RegisterGatewayServer(server, s.lender)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return s, address
+}
+
+func know(s *scheduler, addresses ...string) {
+	var members []*peerpb.FleetMember
+	for _, address := range addresses {
+		members = append(members, &peerpb.FleetMember{Address: address, Zone: "z", Region: "r"})
+	}
+	s.lender.setPeers(members)
+}
+
+func waitingCall() placement.Request {
+	now := boottime.Now()
+	return placement.Request{Service: "s", PromptTokens: 10, OutputTokens: 10, OnTimeBy: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+}
+
+func TestACallRunsInASlotThatAnotherGatewaySpares(t *testing.T) {
+	g := NewWithT(t)
+	short, _ := lendingGateway(t, 0)
+	long, address := lendingGateway(t, 2)
+	know(short, address)
+	ctx := context.Background()
+	// The first question opens the connection and may take too long.
+	g.Eventually(func() placement.Verdict {
+		ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		ticket, decision := short.place(ctx, waitingCall())
+		short.ended(ticket, placement.EndAnswered)
+		return decision.Verdict
+	}, 5*time.Second, 10*time.Millisecond).Should(Equal(placement.Place))
+	g.Eventually(func() int { return lentBy(long) }, time.Second, time.Millisecond).Should(BeZero(), "it was given back")
+	ticket, decision := short.place(ctx, waitingCall())
+	g.Expect(decision.Verdict).To(Equal(placement.Place))
+	g.Expect(decision.Endpoint.ID).To(BeEquivalentTo("e"))
+	g.Expect(lentBy(long)).To(Equal(1))
+	short.ended(ticket, placement.EndAnswered)
+	g.Eventually(func() int { return lentBy(long) }, time.Second, time.Millisecond).Should(BeZero())
+}
+
+func TestNoSlotIsLentThatOwnCallsNeed(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := lendingGateway(t, 2)
+	first, _ := s.place(context.Background(), waitingCall())
+	second, decision := s.place(context.Background(), waitingCall())
+	g.Expect(decision.Verdict).To(Equal(placement.Place))
+	g.Expect(s.lend(waitingCall())).To(BeNil())
+	s.ended(first, placement.EndAnswered)
+	g.Expect(s.lend(waitingCall())).To(BeNil(), "the next own call is likely to need it")
+	s.ended(second, placement.EndAnswered)
+	g.Expect(s.lend(waitingCall())).NotTo(BeNil())
+}
+
+func TestALoanThatIsNotGivenBackEnds(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := lendingGateway(t, 2)
+	reply, err := s.lender.Lend(context.Background(), &peerpb.LendRequest{Service: "s", PromptTokens: 10, OutputTokens: 10})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.GetLoan()).NotTo(BeZero())
+	s.now = func() boottime.Instant { return boottime.Now().Add(maxLoan + time.Second) }
+	s.lender.expire()
+	g.Expect(lentBy(s)).To(BeZero())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Expect(s.placer.Wants(s.now())["10.0.0.1:80"].Open).To(BeZero())
+}
+
+func TestAGatewayThatDoesNotAnswerDelaysACallLittle(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := lendingGateway(t, 0)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	know(s, silent.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, wake := s.submit(waitingCall())
+	g.Expect(wake).NotTo(BeNil())
+	ticket, _ := s.submit(waitingCall())
+	g.Expect(s.lender.borrow(ctx, ticket)).To(BeFalse())
+	g.Expect(time.Since(began)).To(BeNumerically("<", 250*time.Millisecond))
+	_, able := s.lender.pick(time.Now())
+	g.Expect(able).To(BeFalse(), "it is not asked again for a while")
+}
+
+func lentBy(s *scheduler) int {
+	s.lender.mu.Lock()
+	defer s.lender.mu.Unlock()
+	return len(s.lender.lent)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -140,7 +140,7 @@
 }
 
 // serve takes other processes until ctx ends.
-func (r *relay) serve(ctx context.Context) error {
+func (r *relay) serve(ctx context.Context, lender *lender) error {
 	listener, err := net.Listen("tcp", r.config.Listen)
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
@@ -148,6 +148,7 @@
 	server := peers.NewServer(peers.Security{})
 	peerpb.RegisterEndpointServer(server, r)
 	peerpb.RegisterPeerServer(server, r)
+	peerpb.RegisterGatewayServer(server, lender)
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
 	return server.Serve(listener)
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
 	"github.com/zinniaseam/zinniaseam/slotshare"
@@ -26,10 +27,14 @@
 	waiting map[*placement.Ticket]chan struct{}
 	// open ends the attempts under way.
 	open map[*placement.Ticket]context.CancelCauseFunc
+	// loans are the slots of other gateways in which attempts run.
+	loans  map[*placement.Ticket]loan
+	lender *lender
 }
 
 func newScheduler(placer *placement.Placer, now boottime.Clock) *scheduler {
-	return &scheduler{placer: placer, now: now, waiting: map[*placement.Ticket]chan struct{}{}, open: map[*placement.Ticket]context.CancelCauseFunc{}}
+	return &scheduler{placer: placer, now: now, waiting: map[*placement.Ticket]chan struct{}{}, open: map[*placement.Ticket]context.CancelCauseFunc{},
+		loans: map[*placement.Ticket]loan{}}
 }
 
 // run looks at the waiting calls until ctx ends.
@@ -90,16 +95,18 @@
 
 // place waits for the verdict on a request. When ctx ends first, the verdict is Wait.
 func (s *scheduler) place(ctx context.Context, request placement.Request) (*placement.Ticket, placement.Decision) {
-	s.mu.Lock()
-	ticket := s.placer.Submit(s.now(), request)
-	decision := ticket.Decision()
-	if decision.Verdict != placement.Wait {
-		s.mu.Unlock()
+	ticket, wake := s.submit(request)
+	decision := s.decision(ticket)
+	switch {
+	case decision.Verdict == placement.Place:
+		return ticket, decision
+	case decision.Verdict == placement.Reject && decision.Reason != core.ReasonOverloaded:
+		return ticket, decision
+	case s.lender.borrow(ctx, ticket):
+		return ticket, s.decision(ticket)
+	case wake == nil:
 		return ticket, decision
 	}
-	wake := make(chan struct{})
-	s.waiting[ticket] = wake
-	s.mu.Unlock()
 	select {
 	case <-wake:
 	case <-ctx.Done():
@@ -113,6 +120,45 @@
 	return ticket, ticket.Decision()
 }
 
+// submit takes a request. While it waits, the channel is closed with its verdict.
+func (s *scheduler) submit(request placement.Request) (*placement.Ticket, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ticket := s.placer.Submit(s.now(), request)
+	if ticket.Decision().Verdict != placement.Wait {
+		return ticket, nil
+	}
+	wake := make(chan struct{})
+	s.waiting[ticket] = wake
+	return ticket, wake
+}
+
+func (s *scheduler) decision(ticket *placement.Ticket) placement.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ticket.Decision()
+}
+
+// lend gives a slot to another gateway, nil when there is none to spare.
+func (s *scheduler) lend(request placement.Request) *placement.Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Lend(s.now(), request)
+}
+
+// borrowed places a ticket in a slot of another gateway; false when it has been
+// placed meanwhile or may not run there.
+func (s *scheduler) borrowed(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, from loan) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.placer.Borrowed(s.now(), ticket, id, expected) {
+		return false
+	}
+	delete(s.waiting, ticket)
+	s.loans[ticket] = from
+	return true
+}
+
 // attempt returns the context of an attempt, which also ends when its endpoint is lost.
 func (s *scheduler) attempt(ctx context.Context, ticket *placement.Ticket) context.Context {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -135,6 +181,10 @@
 			cancel(nil)
 			delete(s.open, ticket)
 		}
+		if from, borrowed := s.loans[ticket]; borrowed {
+			delete(s.loans, ticket)
+			s.lender.giveBack(from)
+		}
 	})
 }
 
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -76,6 +76,9 @@
 // Agent returns the client of an agent.
 func (c *Conn) Agent() peerpb.AgentClient { return peerpb.NewAgentClient(c.cc) }
 
+// Gateway returns the client of a gateway.
+func (c *Conn) Gateway() peerpb.GatewayClient { return peerpb.NewGatewayClient(c.cc) }
+
 // Peer returns the client of the exchange service.
 func (c *Conn) Peer() peerpb.PeerClient { return peerpb.NewPeerClient(c.cc) }
 
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -42,24 +42,51 @@
 func (p *Placer) Wants(now boottime.Instant) map[string]slotshare.Want {
 	wants := map[string]slotshare.Want{}
 	for service, list := range p.byService {
-		var engines []*endpointState
-		var callTime time.Duration
-		for _, e := range list {
-			if e.profile != nil && p.usable(now, e) {
-				engines = append(engines, e)
-				callTime += e.usualCall()
-			}
-		}
-		if len(engines) == 0 {
-			continue
+		p.wantOf(now, service, list, wants)
+	}
+	return wants
+}
+
+// wantOf divides the calls that come for a service among its engines. Engines that
+// are near get more, so that few bytes go between regions.
+func (p *Placer) wantOf(now boottime.Instant, service core.ServiceID, list []*endpointState, wants map[string]slotshare.Want) {
+	var callTime time.Duration
+	count, weights := 0, 0.0
+	for _, e := range list {
+		if e.profile != nil && p.usable(now, e) {
+			callTime += e.usualCall()
+			weights += p.nearness(e)
+			count++
 		}
-		callTime /= time.Duration(len(engines))
-		calls := p.demandFor(service).rate(now) * callTime.Seconds() / float64(len(engines))
-		for _, e := range engines {
-			wants[e.Address] = slotshare.Want{Calls: calls, Open: len(e.open)}
+	}
+	if count == 0 {
+		return
+	}
+	calls := p.demandFor(service).rate(now) * callTime.Seconds() / float64(count)
+	for _, e := range list {
+		if e.profile != nil && p.usable(now, e) {
+			wants[e.Address] = slotshare.Want{Calls: calls * p.nearness(e) / weights, Open: e.filled()}
 		}
 	}
-	return wants
+}
+
+// Weights of engines by where they stand. Those of other regions count, so that
+// a region with more calls than engines is served.
+const (
+	ownZoneWeight   = 4.0
+	ownRegionWeight = 3.0
+	elsewhereWeight = 1.0
+)
+
+func (p *Placer) nearness(e *endpointState) float64 {
+	switch {
+	case e.Zone == p.config.Zone:
+		return ownZoneWeight
+	case e.Region == p.config.Region:
+		return ownRegionWeight
+	default:
+		return elsewhereWeight
+	}
 }
 
 // usable reports whether an endpoint may take new calls now.
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -48,8 +48,10 @@
 	fleet.Endpoint
 	profile *catalogue.EngineProfile
 	backend *catalogue.Backend
-	// open are the calls that this process has there.
-	open map[*Ticket]struct{}
+	// open are the calls that this process has there, borrowed how many of them run
+	// in slots of other processes.
+	open     map[*Ticket]struct{}
+	borrowed int
 	// report is the newest, sentSince and endedSince what happened after it.
 	report                Report
 	sentSince, endedSince int
@@ -225,22 +227,16 @@
 	e.callTime = usual + time.Duration(callTimeShare*float64(took-usual))
 }
 
-// spareShare is the part of its slots up to which an engine takes calls of
-// gateways that own no free slot.
-const spareShare = 0.7
-
 // full reports whether the endpoint has no slot for another call of this process.
 func (e *endpointState) full(now boottime.Instant) bool {
-	calls, age := e.load(now)
+	calls, _ := e.load(now)
 	switch {
 	case e.profile == nil:
 		return calls >= e.Slots+plainQueue
 	case !e.divided(now):
 		return calls >= e.Slots+engineQueue
-	case len(e.open) < e.news.Granted:
-		return false
 	default:
-		return age < 0 || float64(calls) >= spareShare*float64(e.Slots)
+		return e.filled() >= e.news.Granted
 	}
 }
 
@@ -249,10 +245,13 @@
 	return e.news.At != 0 && now.Sub(e.news.At) < newsLife && e.news.Granted >= 0
 }
 
+// filled returns how many of its own slots this process has filled or lent.
+func (e *endpointState) filled() int { return len(e.open) - e.borrowed }
+
 // own returns how many slots this process fills or may fill.
 func (e *endpointState) own(now boottime.Instant) int {
 	if e.divided(now) {
-		return max(e.news.Granted, len(e.open))
+		return max(e.news.Granted, e.filled())
 	}
 	return len(e.open)
 }
@@ -278,7 +277,7 @@
 // free returns how many slots this process may fill now.
 func (e *endpointState) free(now boottime.Instant) int {
 	if e.divided(now) {
-		return e.own(now) - len(e.open)
+		return e.own(now) - e.filled()
 	}
 	calls, _ := e.load(now)
 	return max(e.Slots-calls, 0)
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -82,6 +82,9 @@
 	}
 	ticket.endpoint = nil
 	delete(e.open, ticket)
+	if ticket.borrowed {
+		e.borrowed--
+	}
 	e.endedSince++
 	switch ending {
 	case EndAnswered:
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -223,6 +223,7 @@
 	}
 }
 
+// place has a request run at an endpoint.
 func (p *Placer) place(now boottime.Instant, ticket *Ticket, e *endpointState, expected time.Duration) {
 	calls, age := e.load(now)
 	endpoint := e.Endpoint
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -297,3 +297,46 @@
 	}
 	g.Expect(p.Overdue(start.Add(3 * time.Second))).To(BeEmpty())
 }
+
+func TestAProcessWantsMoreOfTheEnginesThatAreNear(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(4, 1)) // two engines in the own zone, two in another region
+	for range 40 {
+		p.Submit(start, call(start))
+	}
+	wants := p.Wants(start)
+	near, far := wants["10.0.0.1:80"].Calls, wants["10.0.0.2:80"].Calls
+	g.Expect(near).To(BeNumerically(">", 2*far))
+	g.Expect(far).To(BeNumerically(">", 0), "engines elsewhere serve what the near ones can't")
+}
+
+func TestCallsAreTurnedAwayAtOnceWhenTooManyWait(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(1, 1))
+	var last *placement.Ticket
+	for range 60 {
+		last = p.Submit(start, call(start))
+	}
+	g.Expect(last.Decision().Verdict).To(Equal(placement.Reject))
+	g.Expect(last.Decision().Waited).To(BeZero())
+	g.Expect(last.Decision().RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(p.Waiting()).To(BeNumerically(">", 0))
+	later := start.Add(160 * time.Millisecond)
+	p.Pump(later)
+	g.Expect(p.Waiting()).To(BeZero(), "a fresh call waits 0.15 s at the most")
+}
+
+func TestASlotOfAnotherProcessIsNotCountedAsOwn(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(1, 1))
+	p.EngineNews(placement.EngineNews{Address: "10.0.0.1:80", Boot: 1, Version: 1, Granted: 1, At: start})
+	own := p.Submit(start, call(start))
+	p.Started(start, own)
+	second := p.Submit(start, call(start))
+	g.Expect(second.Decision().Verdict).To(Equal(placement.Wait))
+	g.Expect(p.Borrowed(start, second, "e0", 100*time.Millisecond)).To(BeTrue())
+	g.Expect(p.Waiting()).To(BeZero())
+	g.Expect(p.Wants(start)["10.0.0.1:80"].Open).To(Equal(1))
+	p.Ended(start, own, placement.EndAnswered)
+	g.Expect(p.Submit(start, call(start)).Decision().Verdict).To(Equal(placement.Place))
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -68,6 +68,10 @@
 	// before, or that has a part of the answer. Callers leave when they have seen no
 	// event for 2 s or somewhat more.
 	returnedWait = 1200 * time.Millisecond
+	// freshWait is how long a call waits at the most that was not turned away before:
+	// long enough that slots which become free find a call, and the same for kinds of
+	// different objectives.
+	freshWait = 150 * time.Millisecond
 	// waitShare bounds each wait by the time that the caller has.
 	waitShare = 0.3
 )
@@ -87,7 +91,7 @@
 	if request.Returned || request.Continues {
 		return waited > returnedWait
 	}
-	left := request.OnTimeBy.Sub(now) - p.soonest(ticket)
+	left := min(request.OnTimeBy.Sub(now)-p.soonest(ticket), freshWait-waited)
 	return left <= 0 || float64(ahead) > p.startsPerSecond(now, request.Service)*left.Seconds()
 }
 
@@ -121,14 +125,13 @@
 	if p.classOf(now, ticket) == classOnTime {
 		return false
 	}
-	service := ticket.Request.Service
 	free := 0
-	for _, e := range p.byService[service] {
+	for _, e := range p.byService[ticket.Request.Service] {
 		if p.usable(now, e) {
 			free += e.free(now)
 		}
 	}
-	return float64(free) < p.demandFor(service).rate(now)*reserveTime.Seconds()
+	return float64(free) < p.demandFor(ticket.Request.Service).rate(now)*reserveTime.Seconds()
 }
 
 // Bounds of the time that a rejected caller is asked to stay away.
--- a/placement/request.go
+++ b/placement/request.go
@@ -83,6 +83,8 @@
 	endpoint *endpointState
 	sentAt   boottime.Instant
 	started  bool
+	// borrowed says that the request runs in a slot of another process.
+	borrowed bool
 }
 
 // Decision returns the latest decision.
--- a/rollout/turns.go
+++ b/rollout/turns.go
@@ -12,10 +12,11 @@
 
 const (
 	// firstTurn and lastTurn are the parts of the time for a change at which the
-	// first and the last endpoint begin. Weights take some 0.3 of it to spread, and
-	// the last turn leaves time for one more attempt; running calls may end later.
+	// first and the last endpoint begin. Weights take some 0.3 of it to spread;
+	// gateways send no calls on older weights in the last eighth, and running calls
+	// may end later.
 	firstTurn = 0.3
-	lastTurn  = 0.84
+	lastTurn  = 0.9
 )
 
 // Place is where an endpoint stands that is to change.
