Reading ahead counts calls in own slots only

Cause: a call in a borrowed slot counted as reading ahead of the own slots of the same engine, so that a free own slot stayed empty.

--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -118,11 +118,11 @@
 	return e.passTime(e.Slots) + e.readTime(e.profile.UsualPrompt)*3/4
 }
 
-// unread returns the prompt tokens of own calls that have no first event yet.
+// unread returns the prompt tokens of calls in own slots that have no first event yet.
 func (e *endpointState) unread() int {
 	tokens := 0
 	for ticket := range e.open {
-		if !ticket.started {
+		if !ticket.started && !ticket.borrowed {
 			tokens += ticket.Request.PromptTokens
 		}
 	}
