Agents and gateways tell each other what has changed

Change: messages carry what has changed; the machines of a service are told by two gateways of the agent's region, the gateways by the agent to those of its region and not more often than each 0.4 s; loads go to gateways of the region each 0.4 s and to others each 2 s, what engines begin or end at once; wants of engines elsewhere are told each second, and their silent streams are probed after 2.5 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/grpc"
 
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
@@ -235,34 +234,6 @@
 	a.changed = make(chan struct{})
 }
 
-// newsInterval is the least time between two messages to a follower.
-const newsInterval = 200 * time.Millisecond
-
-// Follow implements peerpb.AgentServer.
-func (a *Agent) Follow(stream grpc.BidiStreamingServer[peerpb.GatewayNews, peerpb.EngineNews]) error {
-	f := &follower{agent: a}
-	f.join()
-	defer f.leave()
-	failed := make(chan error, 1)
-	go func() { failed <- f.receive(stream) }()
-	for {
-		news, changed := f.news()
-		if err := stream.Send(news); err != nil {
-			return err
-		}
-		if err := kernel.Sleep(stream.Context(), newsInterval); err != nil {
-			return err
-		}
-		select {
-		case <-changed:
-		case err := <-failed:
-			return err
-		case <-stream.Context().Done():
-			return stream.Context().Err()
-		}
-	}
-}
-
 // Timeline answers the probe of connections; agents keep no time line.
 func (a *Agent) Timeline(context.Context, *peerpb.TimelineRequest) (*peerpb.TimelineReply, error) {
 	return &peerpb.TimelineReply{}, nil
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -54,7 +54,9 @@
 	log      *log.Logger
 	events   *ring.Ring[activation.Event]
 	news     *ring.Ring[*peerpb.FleetNews]
-	relays   *ring.Ring[[]*peerpb.FleetMember]
+	// engineNews and relays are the machines that followers tell, and the followers
+	// that hold chunks.
+	engineNews, relays *ring.Ring[[]*peerpb.FleetMember]
 	// layerCount is how many layers the model has.
 	layerCount atomic.Int32
 
@@ -85,8 +87,9 @@
 	return &loads{
 		config: config, spreader: spreader, staging: staging, loader: loader, origin: origin, log: logger.WithPrefix("loads"),
 		events: ring.New[activation.Event](eventRing), news: ring.New[*peerpb.FleetNews](newsRing),
-		relays:  ring.New[[]*peerpb.FleetMember](newsRing),
-		machine: activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + time.Second, CallTimeout: stagingTimeout, RetryWait: retryWait}),
+		engineNews: ring.New[[]*peerpb.FleetMember](newsRing),
+		relays:     ring.New[[]*peerpb.FleetMember](newsRing),
+		machine:    activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + time.Second, CallTimeout: stagingTimeout, RetryWait: retryWait}),
 	}
 }
 
@@ -111,6 +114,9 @@
 	l.report(ctx, manifestTold{manifest: manifest})
 }
 
+// takeMembers passes the machines that serve the same model to the duty.
+func (l *loads) takeMembers(engines []*peerpb.FleetMember) { l.engineNews.Offer(engines) }
+
 // takeRelays passes the relays that follow the agent to the duty; when the ring is
 // full, the next change tells all of them.
 func (l *loads) takeRelays(relays []*peerpb.FleetMember) { l.relays.Offer(relays) }
@@ -157,6 +163,9 @@
 			return ctx.Err()
 		case news := <-l.news.Items():
 			l.declare(news)
+		case engines := <-l.engineNews.Items():
+			l.engines = transfer.Members(engines, false)
+			l.spreader.SetMembers(l.members())
 		case relays := <-l.relays.Items():
 			l.relayMembers = transfer.Members(relays, true)
 			l.spreader.SetMembers(l.members())
@@ -205,10 +214,8 @@
 	}
 	l.declared = news
 	l.layerCount.Store(int32(news.GetLayers()))
-	l.engines = transfer.Members(news.GetMembers(), false)
 	l.origin.SetAddress(news.GetOrigin())
 	l.spreader.SetOriginRegion(core.RegionID(news.GetOriginRegion()))
-	l.spreader.SetMembers(l.members())
 	if l.versions.Declare(time.Now(), news.GetVersion(), l.config.Version(news.GetModel(), news.GetVersion()), declaredAt) {
 		l.log.Info("Weights declared.", "model", news.GetModel(), "version", news.GetVersion(), "engines", len(l.engines), "relays", len(l.relayMembers))
 	}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
-	"github.com/zinniaseam/zinniaseam/catalogue"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/kernel"
@@ -28,13 +28,20 @@
 const (
 	// agentRetry is the wait before an agent is followed again.
 	agentRetry = 300 * time.Millisecond
-	// wantInterval is how often agents are told what this process wants of their
-	// engines; a slot is in use for about a second.
+	// wantInterval is how often agents of this region are told what this process
+	// wants of their engines; a slot is in use for about a second.
 	wantInterval = 200 * time.Millisecond
-	// wantRepeat is how often an agent is told what has not changed.
+	// wantRepeat is how often an agent is told what has not changed, and one of
+	// another region what has.
 	wantRepeat = time.Second
-	// wantChange is the relative change of a want that is told at once.
+	// wantChange is the relative change of a want that is told before it is repeated.
 	wantChange = 0.15
+	// farSuspectAfter is how long an agent of another region may tell nothing before
+	// its connection is probed; it tells its load each 2 s.
+	farSuspectAfter = 2500 * time.Millisecond
+	// tellers is how many gateways of a region tell an agent which machines serve
+	// the same model.
+	tellers = 2
 )
 
 // agents follows the agents beside all engines of the deployment.
@@ -50,16 +57,20 @@
 	mu      sync.Mutex
 	ctx     context.Context
 	current map[string]*followed
+	// relays are all gateways that any agent of this region knows to hold chunks.
+	relays []*peerpb.FleetMember
 }
 
 // followed is one engine whose agent is followed.
 type followed struct {
-	cancel context.CancelFunc
+	address string
+	cancel  context.CancelFunc
 	// sameRegion says that the engine stands in this process's region.
 	sameRegion bool
-	// news and want are what the agent is told, changed is closed when one of them
-	// is replaced.
+	// news, engines and want are what the agent is told, changed is closed when one
+	// of them is replaced.
 	news    *peerpb.FleetNews
+	engines *peerpb.FleetMembers
 	want    *peerpb.SlotWant
 	wantAt  time.Time
 	changed chan struct{}
@@ -109,24 +120,24 @@
 			delete(a.current, address)
 		}
 	}
-	for address, news := range wanted {
+	for address, told := range wanted {
 		f := a.current[address]
 		if f == nil {
 			ctx, cancel := context.WithCancel(a.ctx)
-			f = &followed{cancel: cancel, news: news, changed: make(chan struct{}), sameRegion: a.inOwnRegion(news, address)}
+			f = &followed{address: address, cancel: cancel, news: told.news, engines: told.engines, changed: make(chan struct{}), sameRegion: a.inOwnRegion(told.engines, address)}
 			a.current[address] = f
 			go a.follow(ctx, address, f)
 			continue
 		}
-		if !proto.Equal(f.news, news) {
-			f.news = news
+		if !proto.Equal(f.news, told.news) || !proto.Equal(f.engines, told.engines) {
+			f.news, f.engines = told.news, told.engines
 			f.wake()
 		}
 	}
 }
 
-func (a *agents) inOwnRegion(news *peerpb.FleetNews, address string) bool {
-	return slices.ContainsFunc(news.GetMembers(), func(m *peerpb.FleetMember) bool {
+func (a *agents) inOwnRegion(engines *peerpb.FleetMembers, address string) bool {
+	return slices.ContainsFunc(engines.GetMembers(), func(m *peerpb.FleetMember) bool {
 		return m.GetAddress() == address && m.GetRegion() == string(a.gateway.config.Relay.Region)
 	})
 }
@@ -149,41 +160,52 @@
 	return holders, complete
 }
 
+// serviceNews is what the agents of a service are told.
+type serviceNews struct {
+	news    *peerpb.FleetNews
+	engines *peerpb.FleetMembers
+}
+
 // wanted returns the engines by their addresses, with what their agents are told.
-func (a *agents) wanted(view *fleet.View) map[string]*peerpb.FleetNews {
-	engines := map[core.ServiceID][]*fleet.Endpoint{}
+func (a *agents) wanted(view *fleet.View) map[string]*serviceNews {
+	byService := map[core.ServiceID][]*fleet.Endpoint{}
 	for _, endpoint := range view.Endpoints {
 		if view.Deployment.Services[endpoint.Service].Engine != nil {
-			engines[endpoint.Service] = append(engines[endpoint.Service], endpoint)
+			byService[endpoint.Service] = append(byService[endpoint.Service], endpoint)
 		}
 	}
-	wanted := map[string]*peerpb.FleetNews{}
-	for service, endpoints := range engines {
-		backend := view.Deployment.Services[service]
-		news := a.newsOf(view, backend.Engine, endpoints)
-		a.gateway.relay.take(news)
+	wanted := map[string]*serviceNews{}
+	for service, endpoints := range byService {
+		told := &serviceNews{news: a.newsOf(view, service), engines: membersOf(endpoints)}
+		a.gateway.relay.take(told.news, told.engines.GetMembers())
 		for _, endpoint := range endpoints {
-			wanted[endpoint.Address] = news
+			wanted[endpoint.Address] = told
 		}
 	}
 	return wanted
 }
 
-func (a *agents) newsOf(view *fleet.View, profile *catalogue.EngineProfile, engines []*fleet.Endpoint) *peerpb.FleetNews {
+func (a *agents) newsOf(view *fleet.View, service core.ServiceID) *peerpb.FleetNews {
+	profile := view.Deployment.Services[service].Engine
 	news := &peerpb.FleetNews{Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
-	news.Model, news.Version = view.Intended(engines[0].Service, profile)
+	news.Model, news.Version = view.Intended(service, profile)
 	for _, backend := range view.Deployment.Services {
 		if backend.Origin != "" {
 			news.Origin, news.OriginRegion = backend.Origin, string(a.regions[backend.OriginZone])
 		}
 	}
-	slices.SortFunc(engines, func(x, y *fleet.Endpoint) int { return cmp.Compare(x.Address, y.Address) })
-	for _, endpoint := range engines {
-		news.Members = append(news.Members, &peerpb.FleetMember{Address: endpoint.Address, Zone: string(endpoint.Zone), Region: string(endpoint.Region)})
-	}
 	return news
 }
 
+func membersOf(endpoints []*fleet.Endpoint) *peerpb.FleetMembers {
+	slices.SortFunc(endpoints, func(x, y *fleet.Endpoint) int { return cmp.Compare(x.Address, y.Address) })
+	members := &peerpb.FleetMembers{}
+	for _, endpoint := range endpoints {
+		members.Members = append(members.Members, &peerpb.FleetMember{Address: endpoint.Address, Zone: string(endpoint.Zone), Region: string(endpoint.Region)})
+	}
+	return members
+}
+
 // follow keeps a stream to one agent until ctx ends.
 func (a *agents) follow(ctx context.Context, engine string, f *followed) {
 	away := false
@@ -211,6 +233,9 @@
 	if err != nil {
 		return err
 	}
+	if !f.sameRegion {
+		conn.SetSuspectAfter(farSuspectAfter)
+	}
 	callCtx, end := conn.Begin(ctx)
 	defer end()
 	stream, err := conn.Agent().Follow(callCtx)
@@ -239,11 +264,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f.version, f.heard = news.GetVersion(), true
-	same := func(x, y *peerpb.FleetMember) bool { return proto.Equal(x, y) }
-	if slices.EqualFunc(f.relays, news.GetRelays(), same) {
+	if news.GetRelays() == nil {
 		return
 	}
-	f.relays = news.GetRelays()
+	f.relays = news.GetRelays().GetMembers()
 	byAddress := map[string]*peerpb.FleetMember{}
 	for _, other := range a.current {
 		for _, m := range other.relays {
@@ -256,24 +280,18 @@
 	}
 	a.gateway.relay.takeRelays(all)
 	a.scheduler.lender.setPeers(all)
+	a.relays = all
+	for _, other := range a.current {
+		other.wake()
+	}
 }
 
 // tell sends what changes until the stream ends; the receiving side reports why.
 func (a *agents) tell(stream grpc.BidiStreamingClient[peerpb.GatewayNews, peerpb.EngineNews], f *followed) {
-	var told *peerpb.FleetNews
-	var manifest string
+	told := &peerpb.GatewayNews{}
 	for {
-		a.mu.Lock()
-		message, changed := &peerpb.GatewayNews{Gateway: a.name, Want: f.want}, f.changed
-		if f.news != told {
-			message.Fleet, told = f.news, f.news
-		}
-		message.Relay = a.gateway.relay.member(f.news)
-		if known := a.gateway.relay.manifestOf(f.news); f.sameRegion && known.GetVersion() != manifest {
-			message.Manifest, manifest = known, known.GetVersion()
-		}
-		a.mu.Unlock()
-		if stream.Send(message) != nil {
+		message, changed := a.nextMessage(f, told)
+		if message != nil && stream.Send(message) != nil {
 			return
 		}
 		select {
@@ -284,6 +302,54 @@
 	}
 }
 
+// nextMessage returns what an agent does not know yet, nil when it knows all, and
+// a channel that is closed when something changes. What it returns is noted in told.
+func (a *agents) nextMessage(f *followed, told *peerpb.GatewayNews) (*peerpb.GatewayNews, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	message := &peerpb.GatewayNews{}
+	if told.Gateway == "" {
+		message.Gateway, message.Region = a.name, string(a.gateway.config.Relay.Region)
+		told.Gateway = a.name
+	}
+	if f.news != told.Fleet {
+		message.Fleet, told.Fleet = f.news, f.news
+	}
+	if f.engines != told.Members && a.tells(f) {
+		message.Members, told.Members = f.engines, f.engines
+	}
+	if f.want != told.Want {
+		message.Want, told.Want = f.want, f.want
+	}
+	if state := (&peerpb.RelayState{Member: a.gateway.relay.member(f.news)}); !proto.Equal(state, told.Relay) {
+		message.Relay, told.Relay = state, state
+	}
+	if known := a.gateway.relay.manifestOf(f.news); f.sameRegion && known.GetVersion() != told.Manifest.GetVersion() {
+		message.Manifest, told.Manifest = known, known
+	}
+	if proto.Equal(message, &peerpb.GatewayNews{}) {
+		return nil, f.changed
+	}
+	return message, f.changed
+}
+
+// tells reports whether this process is one of those that tell an agent which
+// machines serve the same model: the first of its region by hash, so that the list
+// is not sent by all.
+func (a *agents) tells(f *followed) bool {
+	if !f.sameRegion {
+		return false
+	}
+	before := 0
+	own := xxh3.HashString(a.gateway.config.Relay.Listen + f.address)
+	for _, m := range a.relays {
+		if m.GetRegion() == string(a.gateway.config.Relay.Region) && xxh3.HashString(m.GetAddress()+f.address) < own {
+			before++
+		}
+	}
+	return before < tellers
+}
+
 // tellWants tells agents what this process wants of their engines until ctx ends.
 func (a *agents) tellWants(ctx context.Context) error {
 	ticker := time.NewTicker(wantInterval)
@@ -304,7 +370,7 @@
 	now := time.Now()
 	for address, f := range a.current {
 		want, known := wants[address]
-		if !known || f.want != nil && !wantChanged(f.want, want) && now.Sub(f.wantAt) < wantRepeat {
+		if !known || f.want != nil && now.Sub(f.wantAt) < wantRepeat && (!f.sameRegion || !wantChanged(f.want, want)) {
 			continue
 		}
 		f.want, f.wantAt = &peerpb.SlotWant{Calls: float32(want.Calls), Open: uint32(want.Open)}, now
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,8 +68,10 @@
 	log      *log.Logger
 
 	mu sync.Mutex
-	// news is what is declared, relays are the other gateways that hold chunks.
+	// news is what is declared, engines are the machines that need it, relays the
+	// other gateways that hold chunks.
 	news    *peerpb.FleetNews
+	engines []*peerpb.FleetMember
 	relays  []*peerpb.FleetMember
 	changed chan struct{}
 	// manifest is that of the newest version of which it was read.
@@ -154,12 +156,12 @@
 	return server.Serve(listener)
 }
 
-// take notes what is declared.
-func (r *relay) take(news *peerpb.FleetNews) {
+// take notes what is declared and which engines need it.
+func (r *relay) take(news *peerpb.FleetNews, engines []*peerpb.FleetMember) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if news.GetVersion() >= r.news.GetVersion() {
-		r.news = news
+		r.news, r.engines = news, engines
 		r.wake()
 	}
 }
@@ -189,7 +191,7 @@
 func (r *relay) declared(holders map[string]bool) (*peerpb.FleetNews, []spread.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	members := transfer.Members(r.news.GetMembers(), false)
+	members := transfer.Members(r.engines, false)
 	for i := range members {
 		members[i].Holds = holders[string(members[i].ID)]
 	}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -68,6 +68,8 @@
 	openCalls    atomic.Int32
 	timeouts     atomic.Int32
 	probing      atomic.Bool
+	// suspectAfter takes the place of SuspectAfter when it is not 0.
+	suspectAfter atomic.Int64
 }
 
 // Endpoint returns the client of an endpoint process.
@@ -106,6 +108,17 @@
 // Discarded reports whether the connection was given up as silent or idle.
 func (c *Conn) Discarded() bool { return c.ctx.Err() != nil }
 
+// SetSuspectAfter sets how long the connection may be without a message while
+// calls are open on it, for peers that have little to tell.
+func (c *Conn) SetSuspectAfter(wait time.Duration) { c.suspectAfter.Store(int64(wait)) }
+
+func (c *Conn) suspectTime() time.Duration {
+	if wait := c.suspectAfter.Load(); wait > 0 {
+		return time.Duration(wait)
+	}
+	return SuspectAfter
+}
+
 // Progress records that a message arrived.
 func (c *Conn) Progress() {
 	c.lastProgress.Store(time.Now().UnixNano())
@@ -242,7 +255,7 @@
 		switch {
 		case open == 0 && idle > IdleAfter:
 			p.Discard(conn)
-		case open > 0 && silent > SuspectAfter && conn.probing.CompareAndSwap(false, true):
+		case open > 0 && silent > conn.suspectTime() && conn.probing.CompareAndSwap(false, true):
 			go p.probe(ctx, conn)
 		}
 	}
