The agent tested against a small engine; its turn counts from versions it lacks

Cause: between a declaration and the next look at the engine, the turn was worked out from the version that the engine serves already, so that weights which are there at once were loaded 0.3 s after their declaration, before the turn.

--- a/agent/loads.go
+++ b/agent/loads.go
@@ -369,6 +369,7 @@
 // turnAt returns from when the engine may change. An engine that serves nothing
 // need not wait.
 func (l *loads) turnAt() time.Time {
+	l.versions.ForgetUpTo(l.held)
 	oldest := l.versions.Oldest()
 	if l.held == 0 || oldest.Number <= l.held {
 		return oldest.DeclaredAt
