Relays name themselves once, and are told of members only when they change

Cause: on a grown site most relays had version 2 only 5 to 8 s after its declaration. A gateway's own name stood twice in its list, so that it took itself for none of those that send to a region which others had chosen it for; and each step, every 0.1 s, gave the policy the members anew, which forgot that a source had nothing. Test: senders and receivers agree with a machine named twice; it failed before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	engines []*peerpb.FleetMember
 	relays  []*peerpb.FleetMember
 	changed chan struct{}
+	// told are the machines that the spreader knows; owned by run.
+	told []spread.Member
 	// manifest is that of the newest version of which it was read.
 	manifest *core.Manifest
 	// onManifest is called when a manifest was read.
@@ -195,7 +198,11 @@
 	for i := range members {
 		members[i].Holds = holders[string(members[i].ID)]
 	}
-	members = append(members, transfer.Members(r.relays, true)...)
+	for _, relay := range transfer.Members(r.relays, true) {
+		if relay.ID != r.self().ID {
+			members = append(members, relay)
+		}
+	}
 	return r.news, append(members, r.self())
 }
 
@@ -295,7 +302,7 @@
 		versions.ForgetUpTo(oldest.Number)
 	}
 	chosen, changed := versions.Choose(rollout.Choice{Now: now, TurnAt: now})
-	if chosen == nil {
+	if chosen == nil || !changed && slices.Equal(members, r.told) {
 		return
 	}
 	if changed {
@@ -303,5 +310,7 @@
 	}
 	if err := r.spreader.Want(ctx, chosen.Manifest, members); err != nil {
 		r.log.Warn("The spread can't start.", "version", chosen.ID, "err", err)
+		return
 	}
+	r.told = members
 }
--- a/spread/gateways_test.go
+++ b/spread/gateways_test.go
@@ -27,3 +27,21 @@
 	}
 	g.Expect(spread.Gateways("v1", "r0", "r1", members)).To(HaveLen(16))
 }
+
+// TestTheSenderAndTheReceiverAgreeOnTheGateways: a sender whose list names it twice
+// took itself for none.
+func TestTheSenderAndTheReceiverAgreeOnTheGateways(t *testing.T) {
+	g := NewWithT(t)
+	var members []spread.Member
+	for region := range 4 {
+		for i := range 10 {
+			members = append(members, spread.Member{
+				ID: core.VMID(fmt.Sprintf("relay-%d-%d", region, i)), Zone: "z", Region: core.RegionID(fmt.Sprintf("r%d", region)), Relay: true,
+			})
+		}
+	}
+	want := spread.Gateways("v1", "r0", "r1", members)
+	for _, twice := range members[:10] {
+		g.Expect(spread.Gateways("v1", "r0", "r1", append(members, twice))).To(Equal(want), string(twice.ID))
+	}
+}
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -201,8 +201,10 @@
 // over the machines.
 func Heads(version core.VersionID, region core.RegionID, members []Member) []Member {
 	var machines []ranked
+	seen := map[core.VMID]bool{}
 	for _, m := range members {
-		if m.Region == region {
+		if m.Region == region && !seen[m.ID] {
+			seen[m.ID] = true
 			machines = append(machines, ranked{member: m, hash: hashMember(version, m.ID)})
 		}
 	}
