Changes of the store that keep coming are read together

Change: while changes keep coming, the pause doubles up to 0.6 s; it counts against the wait of the next watch, so that what is known grows no older than before. A change after a quiet time is read at once, as before. Ruled out: a longer wait of the watch (keys must be confirmed in time), a longer fixed pause (a single change after another would wait for it as well).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,9 +112,10 @@
 	callerIdle = 2 * time.Minute
 	// headerTime bounds the reading of a request's head.
 	headerTime = 10 * time.Second
-	// gatherTime lets changes of the store that follow each other come in one call;
-	// every rule on them leaves at least two seconds.
-	gatherTime = 150 * time.Millisecond
+	// gatherTime and maxGatherTime let changes of the store that follow each other
+	// come in one call; every rule on them leaves at least two seconds.
+	gatherTime    = 150 * time.Millisecond
+	maxGatherTime = 600 * time.Millisecond
 	// sweepInterval is how often idle connections and lapsed endpoints are looked at.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -161,7 +162,7 @@
 
 // followStore keeps the whole store known: one watch costs half of two.
 func (g *Gateway) followStore(ctx context.Context) error {
-	follower := &metastore.Follower{Store: g.store, Wait: g.config.WatchWait, Gather: gatherTime, Sink: g.holder, Now: g.now}
+	follower := &metastore.Follower{Store: g.store, Wait: g.config.WatchWait, Gather: gatherTime, MaxGather: maxGatherTime, Sink: g.holder, Now: g.now}
 	return follower.Run(ctx)
 }
 
--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -32,12 +32,16 @@
 type Follower struct {
 	Store  Store
 	Prefix string
-	// Wait bounds one watch. Without changes, the age of what is known grows up to it.
+	// Wait bounds one watch and the pause before it. Without changes, the age of
+	// what is known grows up to it.
 	Wait time.Duration
-	// Gather is the pause after changes, in which more of them gather for one call.
-	Gather time.Duration
-	Sink   Sink
-	Now    boottime.Clock
+	// Gather is the pause after a change, in which more gather for one call. While
+	// they keep coming it grows up to MaxGather.
+	Gather, MaxGather time.Duration
+	Sink              Sink
+	Now               boottime.Clock
+
+	pause time.Duration
 }
 
 // Run follows the prefix until ctx ends.
@@ -88,14 +92,30 @@
 // watch confirms the content as of the sending of the call, since the answer may
 // have been under way while the process was suspended.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+	if err := kernel.Sleep(ctx, f.pause); err != nil {
+		return after, err
+	}
 	asked := f.Now()
-	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, f.Wait)
+	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, max(f.Wait-f.pause, 0))
 	if err != nil {
+		f.pause = 0
 		return after, err
 	}
 	f.Sink.Apply(changes, revision, asked)
-	if len(changes) > 0 && f.Gather > 0 {
-		return revision, kernel.Sleep(ctx, f.Gather)
-	}
+	f.pause = f.nextPause(len(changes) > 0, f.Now().Sub(asked))
 	return revision, nil
 }
+
+// nextPause returns the pause before the next watch. Load pattern answered:
+// endpoints register one after the other when the deployment starts or grows, and
+// each follower would make a call for each of them.
+func (f *Follower) nextPause(changed bool, waited time.Duration) time.Duration {
+	switch {
+	case !changed:
+		return 0
+	case waited > f.pause:
+		return f.Gather
+	default:
+		return min(2*f.pause, f.MaxGather)
+	}
+}
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/metastore"
 )
 
@@ -69,6 +71,56 @@
 	return store, seen
 }
 
+// growing is a store in which one key after the other is written.
+type growing struct {
+	from time.Time
+	// every is the time between two writes, of which there are writes.
+	every  time.Duration
+	writes uint64
+	calls  int
+	end    context.CancelFunc
+}
+
+func (s *growing) revision() uint64 { return min(uint64(time.Since(s.from)/s.every), s.writes) }
+
+func (s *growing) Read(context.Context, string) (metastore.Snapshot, error) {
+	return metastore.Snapshot{}, nil
+}
+
+func (s *growing) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]metastore.Change, uint64, error) {
+	s.calls++
+	if after == s.writes {
+		s.end()
+		return nil, after, nil
+	}
+	due := s.every * time.Duration(after+1)
+	if err := kernel.Sleep(ctx, min(max(due-time.Since(s.from), 0), wait)); err != nil {
+		return nil, after, err
+	}
+	revision := s.revision()
+	return make([]metastore.Change, revision-after), revision, nil
+}
+
+// Load pattern: 24 endpoints register within five seconds. The bound is half of
+// one call a change.
+func TestChangesThatKeepComingAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		store := &growing{from: time.Now(), every: 200 * time.Millisecond, writes: 24, end: cancel}
+		seen := &sink{}
+		follower := metastore.Follower{
+			Store: store, Sink: seen, Now: func() boottime.Instant { return boottime.Instant(time.Since(store.from)) },
+			Wait: 2400 * time.Millisecond, Gather: 150 * time.Millisecond, MaxGather: 600 * time.Millisecond,
+		}
+		g.Expect(follower.Run(ctx)).To(MatchError(context.Canceled))
+		t.Logf("%d calls for %d changes", store.calls, store.writes)
+		g.Expect(store.calls).To(BeNumerically("<=", store.writes/2))
+		g.Expect(time.Since(store.from)).To(BeNumerically("<=", 24*store.every+2*follower.MaxGather))
+	})
+}
+
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	g := NewWithT(t)
 	store, seen := follow(t, answer(3), answer(4), failure(metastore.ErrCompacted), answer(9), answer(10))
