Machines ask different relays at once, and heads draw in turn for all regions

Cause: on the grown deployments the machines of a zone wanted the same chunks in the same order, and as many chunks in a row as there are other regions come first to one relay: fourteen machines waited for one link of 40 Mbit/s, then for the next, while nine others stood idle (134 chunks a second, all from one relay at a time). The first draws of all heads went on to the same region. Change: each machine begins at another relay of its zone, whichever is the chunk's head. Chunks are taken in an order in which the first of each head come before the second, and in which neighbours go on to different regions.

--- a/experiment/spreading/network.go
+++ b/experiment/spreading/network.go
@@ -20,6 +20,8 @@
 	// Up and Down are the rates of each machine's link.
 	Up   float64 `json:"upBytesPerSecond"`
 	Down float64 `json:"downBytesPerSecond"`
+	// Relay is the rate of the link of each relay, each way; 0 is that of the others.
+	Relay float64 `json:"relayBytesPerSecond,omitempty"`
 	// Region is the rate of the link between two regions, each way.
 	Region float64 `json:"regionBytesPerSecond"`
 }
@@ -38,16 +40,19 @@
 	return l.free
 }
 
-// relaySpeed is how many times faster the link of a relay is: 1,000 Mbit/s
-// against 9.4 on the users' deployments.
-const relaySpeed = 100
+// upRate and downRate are the rates of a machine's link.
+func (n Network) upRate(m *machine) float64 {
+	if m.member.Relay && n.Relay > 0 {
+		return n.Relay
+	}
+	return n.Up
+}
 
-// speed is the rate of the machine's link in parts of the network's.
-func (m *machine) speed() float64 {
-	if m.member.Relay {
-		return relaySpeed
+func (n Network) downRate(m *machine) float64 {
+	if m.member.Relay && n.Relay > 0 {
+		return n.Relay
 	}
-	return 1
+	return n.Down
 }
 
 // machine is one VM with its policy and links.
--- a/experiment/spreading/simulation.go
+++ b/experiment/spreading/simulation.go
@@ -218,7 +218,7 @@
 		if r.done || s.broken(r) {
 			continue
 		}
-		sent := m.up.carry(s.now(), r.bytes, s.network.Up*m.speed())
+		sent := m.up.carry(s.now(), r.bytes, s.network.upRate(m))
 		arrival := sent
 		if from, to := m.member.Region, r.from.member.Region; from != to {
 			arrival = s.crossRegion(m, from, to, r.bytes)
@@ -271,7 +271,7 @@
 // receive passes a chunk through the receiver's link; its last byte reaches the
 // link at last.
 func (s *simulation) receive(r *request, last time.Duration) {
-	down := s.network.Down * r.from.speed()
+	down := s.network.downRate(r.from)
 	transfer := time.Duration(float64(r.bytes) / down * float64(time.Second))
 	s.at(last-transfer, func() {
 		passed := r.from.down.carry(s.now(), r.bytes, down)
--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -160,6 +160,7 @@
 	topology *topology
 	tree     tree
 	chunks   []chunkRecord
+	order    chunkOrder
 	ready    [classCount]chunkQueue
 	delayed  delayQueue
 	inFlight [classCount]int
@@ -200,6 +201,7 @@
 	p.start.Members = nil
 	p.topology = newTopology(p.start.Manifest.Version, p.start.Self, p.start.OriginRegion, members)
 	p.tree = tree{topology: p.topology, arity: p.tuning.Arity}
+	p.order = newChunkOrder(len(p.chunks), p.topology.headRow())
 	p.most[classPeer] = p.peerWindow()
 	p.windows[classPeer] = min(max(p.windows[classPeer], 1), p.most[classPeer])
 	p.most[classCross] = p.crossWindow()
@@ -271,7 +273,11 @@
 	if head, ok := p.effectiveHead(now, chunk); ok && head.ID == p.start.Self.ID {
 		_, class = p.chooseAsHead(now, chunk)
 	}
-	p.ready[class].add(chunk)
+	p.push(class, chunk)
+}
+
+func (p *chunkOwner) push(class fetchClass, chunk int) {
+	p.ready[class].add(int(p.order.ranks[chunk]))
 }
 
 // startFetches fills the windows. A chunk whose source changed class since it
@@ -282,10 +288,10 @@
 		moved = false
 		for class := range classCount {
 			for p.inFlight[class] < p.windows[class] && p.ready[class].Len() > 0 {
-				chunk := p.ready[class].take()
+				chunk := int(p.order.chunks[p.ready[class].take()])
 				source, actual := p.choose(now, chunk)
 				if actual != class {
-					p.ready[actual].add(chunk)
+					p.push(actual, chunk)
 					moved = true
 					continue
 				}
--- a/spread/chunk_owner_choose.go
+++ b/spread/chunk_owner_choose.go
@@ -157,7 +157,7 @@
 func (p *chunkOwner) liveGateway(now time.Time, chunk int, region core.RegionID) (core.VMID, bool) {
 	gateways := p.topology.gatewaysOf(region)
 	n := len(gateways)
-	round := chunk / max(len(p.topology.others), 1)
+	round := chunk / p.topology.headRow()
 	for i := range gateways {
 		place := round
 		if i > 0 {
--- a/spread/queue.go
+++ b/spread/queue.go
@@ -5,7 +5,32 @@
 	"time"
 )
 
-// chunkQueue hands out chunks in index order.
+// chunkOrder is the order in which a machine takes chunks. Load pattern answered:
+// heads draw different chunks at the same time. The first of each head come
+// before the second, and those that go on to one region between those that go to
+// the others, so that no link waits for another.
+type chunkOrder struct {
+	// ranks is each chunk's place in the order, chunks the chunk at each place.
+	ranks, chunks []int32
+}
+
+// newChunkOrder orders chunks of which so many in a row have the same head.
+func newChunkOrder(chunks, row int) chunkOrder {
+	o := chunkOrder{ranks: make([]int32, chunks), chunks: make([]int32, 0, chunks)}
+	for turn := range row {
+		for first := 0; first < chunks; first += row {
+			chunk := first + (turn+first/row)%row
+			if chunk < chunks {
+				o.ranks[chunk] = int32(len(o.chunks))
+				o.chunks = append(o.chunks, int32(chunk))
+			}
+		}
+	}
+	return o
+}
+
+// chunkQueue hands out chunks by their indices, or by their places in an order,
+// the least first.
 type chunkQueue []int32
 
 func (q chunkQueue) Len() int           { return len(q) }
@@ -22,7 +47,7 @@
 	return last
 }
 
-func (q *chunkQueue) add(chunk int) { heap.Push(q, int32(chunk)) }
+func (q *chunkQueue) add(place int) { heap.Push(q, int32(place)) }
 func (q *chunkQueue) take() int     { return int(heap.Pop(q).(int32)) }
 
 // delayedChunk is wanted again at a later time.
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -288,13 +288,17 @@
 	return t.others[chunk%len(t.others)]
 }
 
+// headRow is how many chunks in a row have the same head: one for each region
+// that they go to first.
+func (t *topology) headRow() int { return max(len(t.others), 1) }
+
 // headOrder returns the machine at a position of a chunk's head order in a region.
 func (t *topology) headOrder(region core.RegionID, chunk, position int) (Member, bool) {
 	heads := t.headsOf(region)
 	if len(heads) == 0 {
 		return Member{}, false
 	}
-	start := chunk / max(len(t.others), 1)
+	start := chunk / t.headRow()
 	return heads[(start+position)%len(heads)], true
 }
 
--- a/spread/tree.go
+++ b/spread/tree.go
@@ -52,26 +52,26 @@
 	return append(t.zoneTops(path, chunk, head, successor), head.ID)
 }
 
-// relaysAbove appends the relays that a machine asks for a chunk, each of which
-// serves an equal part of the chunks. A relay asks the head alone.
+// relaysAbove appends the relays that a machine asks for a chunk. Each machine
+// begins at another relay, so that machines that want the same chunks at once
+// don't wait for one relay. A relay asks the head alone.
 func (t *tree) relaysAbove(path []core.VMID, chunk int, head Member) []core.VMID {
 	self := t.topology.self
-	if self.ID == head.ID {
+	switch {
+	case self.ID == head.ID:
 		return path
+	case self.Relay:
+		return append(path, head.ID)
 	}
-	if !self.Relay {
-		relays := t.topology.relays
-		for i := range relays {
-			if id := relays[(chunk+i)%len(relays)]; id != head.ID {
-				path = append(path, id)
-			}
-		}
-		if slices.Contains(relays, head.ID) {
-			// The head has the chunk first.
-			return append([]core.VMID{head.ID}, path...)
-		}
+	relays := t.topology.relays
+	start := chunk + t.topology.index[self.ID]
+	for i := range relays {
+		path = append(path, relays[(start+i)%len(relays)])
 	}
-	return append(path, head.ID)
+	if !slices.Contains(relays, head.ID) {
+		path = append(path, head.ID)
+	}
+	return path
 }
 
 // zoneTops appends the tops of the zones between this zone and the head's.
