Machines asked by chance get no patience; a lost origin is logged

The origin was away for 6.4 s. The head of one chunk then asked machines by chance, two times in six, and each such machine could say four times after a second that it had nothing before the next source was asked: seven seconds for one chunk after the origin was back. The logs did not say that the origin was away. Change: a source taken by chance holds a request for 0.2 s at the most (1 s for weights of gigabytes) and is not asked twice in a row. The loss of the origin and its return are logged.

--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -11,7 +11,6 @@
 const (
 	ownerGuessWindow = 4
 	ownerPeerWait    = 8 * time.Second
-	ownerGuessWait   = time.Second
 	ownerCrossWait   = 8 * time.Second
 	ownerRetry       = 200 * time.Millisecond
 	// ownerQuickMiss is how often an answer "missing" counts that came before the
@@ -64,8 +63,8 @@
 	// that waits for a chunk itself says so each second.
 	OriginTimeout, CrossTimeout, PeerTimeout time.Duration
 	// CrossWait and PeerWait are how long a machine may hold a request for a chunk
-	// that it expects itself.
-	CrossWait, PeerWait time.Duration
+	// that it expects itself, GuessWait the same for one that was taken by chance.
+	CrossWait, PeerWait, GuessWait time.Duration
 	// CrossMisses and PeerMisses are after how many answers "missing" the next
 	// source is asked.
 	CrossMisses, PeerMisses uint8
@@ -81,7 +80,7 @@
 	Arity: 4, OriginWindow: 1, CrossWindow: 12, PeerWindow: 64, RelayWindow: 8, RegionWindow: 128,
 	Patience: Patience{
 		OriginTimeout: 10 * time.Second, CrossTimeout: 5 * time.Second, PeerTimeout: 3 * time.Second,
-		CrossWait: 8 * time.Second, PeerWait: 8 * time.Second, CrossMisses: 8, PeerMisses: 4,
+		CrossWait: 8 * time.Second, PeerWait: 8 * time.Second, GuessWait: time.Second, CrossMisses: 8, PeerMisses: 4,
 		MaxRetry: 5 * time.Second, HoldOff: firstHoldOff, MaxHoldOff: maxHoldOff,
 	},
 }
@@ -93,7 +92,7 @@
 	StartWindow: 6, SlowTransfer: 500 * time.Millisecond,
 	Patience: Patience{
 		OriginTimeout: 1500 * time.Millisecond, CrossTimeout: 1500 * time.Millisecond, PeerTimeout: 1300 * time.Millisecond,
-		CrossWait: time.Second, PeerWait: time.Second, CrossMisses: 4, PeerMisses: 2,
+		CrossWait: time.Second, PeerWait: time.Second, GuessWait: 200 * time.Millisecond, CrossMisses: 4, PeerMisses: 2,
 		MaxRetry: 400 * time.Millisecond, HoldOff: 300 * time.Millisecond, MaxHoldOff: 900 * time.Millisecond,
 	},
 }
@@ -144,6 +143,9 @@
 	climb uint8
 	// draws counts failed draws from the origin.
 	draws uint8
+	// guess says that the last source was taken by chance, with no reason to think
+	// that it holds the chunk or expects it.
+	guess bool
 }
 
 // chunkOwner gives each chunk one head in each region. The head of the root
@@ -307,22 +309,23 @@
 	p.chunks[chunk].class = class
 	p.inFlight[class]++
 	p.started[chunk] = now
-	fetch := Fetch{Chunk: chunk, Source: source, Wait: p.tuning.Patience.wait(class), Timeout: p.tuning.Patience.timeout(class)}
+	fetch := Fetch{Chunk: chunk, Source: source, Wait: p.wait(chunk), Timeout: p.tuning.Patience.timeout(class)}
 	p.suspects.probe(source.Peer, now, fetch.Timeout)
 	return fetch
 }
 
-// wait is how long a source of a class may hold a request.
-func (p Patience) wait(class fetchClass) time.Duration {
-	switch class {
-	case classOrigin:
+// wait is how long the source of a chunk may hold the request.
+func (p *chunkOwner) wait(chunk int) time.Duration {
+	patience, record := p.tuning.Patience, &p.chunks[chunk]
+	switch {
+	case record.guess:
+		return patience.GuessWait
+	case record.class == classOrigin:
 		return 0
-	case classCross:
-		return p.CrossWait
-	case classGuess:
-		return ownerGuessWait
+	case record.class == classCross:
+		return patience.CrossWait
 	default:
-		return p.PeerWait
+		return patience.PeerWait
 	}
 }
 
--- a/spread/chunk_owner_choose.go
+++ b/spread/chunk_owner_choose.go
@@ -9,6 +9,7 @@
 // choose returns the source that a chunk is asked from next: the nearest
 // ancestor in the zone's tree that is not under suspicion, then the head.
 func (p *chunkOwner) choose(now time.Time, chunk int) (Source, fetchClass) {
+	p.chunks[chunk].guess = false
 	p.noteSilent(now, chunk)
 	head, ok := p.effectiveHead(now, chunk)
 	if ok && head.ID == p.start.Self.ID {
@@ -63,7 +64,7 @@
 	switch p.chunks[chunk].attempts % ownerGuessEach {
 	case ownerGuessEach - 1:
 		// The chunk may be in the region already, from a head that died.
-		return p.randomInRegion(now)
+		return p.randomInRegion(now, chunk)
 	case ownerGuessEach - 2:
 		if far, ok := p.anyOtherRegion(now, chunk); ok {
 			return Source{Peer: far}, classCross
@@ -84,7 +85,7 @@
 	if far, ok := p.anyOtherRegion(now, chunk); ok {
 		return Source{Peer: far}, classCross
 	}
-	return p.randomInRegion(now)
+	return p.randomInRegion(now, chunk)
 }
 
 // holder returns a machine of this region that holds the chunk already, for the
@@ -114,7 +115,7 @@
 			return Source{Peer: far}, classCross
 		}
 	}
-	return p.randomInRegion(now)
+	return p.randomInRegion(now, chunk)
 }
 
 // mayAskOrigin holds for the first ranks of the root region and, once it has
@@ -178,7 +179,9 @@
 	if region == p.start.Self.Region {
 		return "", false
 	}
-	return p.liveGateway(now, chunk, region)
+	gateway, ok := p.liveGateway(now, chunk, region)
+	p.chunks[chunk].guess = ok
+	return gateway, ok
 }
 
 // chooseFallback serves a machine whose ancestors all failed: it asks any
@@ -188,17 +191,18 @@
 	if p.chunks[chunk].attempts%2 == 0 && p.topology.headRank(chunk, ownerRootRanks) < ownerRootRanks {
 		return p.chooseAsHead(now, chunk)
 	}
-	return p.randomInRegion(now)
+	return p.randomInRegion(now, chunk)
 }
 
 // randomSearch is how often randomInRegion draws before it takes a suspect.
 const randomSearch = 8
 
-func (p *chunkOwner) randomInRegion(now time.Time) (Source, fetchClass) {
+func (p *chunkOwner) randomInRegion(now time.Time, chunk int) (Source, fetchClass) {
 	machines := p.topology.region
 	if len(machines) == 0 {
 		return p.alone()
 	}
+	p.chunks[chunk].guess = true
 	var id core.VMID
 	for range randomSearch {
 		id = machines[p.chance.IntN(len(machines))]
--- a/spread/chunk_owner_failures.go
+++ b/spread/chunk_owner_failures.go
@@ -29,7 +29,7 @@
 	case FailureLocal:
 		return ownerRetry
 	case FailureMissing:
-		return p.noteMissing(record, after)
+		return p.noteMissing(e.Chunk, after)
 	case FailureCorrupt:
 		p.suspect(e.Source.Peer, now)
 	case FailureTimeout:
@@ -44,9 +44,10 @@
 
 // noteMissing passes a source over that has nothing for long. A source that
 // kept the request for the whole wait expects the chunk itself and gets more
-// patience than one that answers at once.
-func (p *chunkOwner) noteMissing(record *chunkRecord, after time.Duration) time.Duration {
-	waited := after >= p.tuning.Patience.wait(record.class)
+// patience than one that answers at once; one taken by chance gets none.
+func (p *chunkOwner) noteMissing(chunk int, after time.Duration) time.Duration {
+	record := &p.chunks[chunk]
+	waited := after >= p.wait(chunk)
 	record.misses += ownerQuickMiss
 	if waited {
 		record.misses -= ownerQuickMiss - 1
@@ -55,10 +56,12 @@
 	if record.class == classCross {
 		limit = p.tuning.Patience.CrossMisses
 	}
-	if record.misses >= limit {
+	if record.guess || record.misses >= limit {
 		record.misses = 0
 		countUp(&record.attempts)
-		countUp(&record.climb)
+		if !record.guess {
+			countUp(&record.climb)
+		}
 	}
 	if waited {
 		return 0
--- a/spread/chunk_owner_test.go
+++ b/spread/chunk_owner_test.go
@@ -294,3 +294,22 @@
 	g.Expect(w.allHeld()).To(BeTrue())
 	g.Expect(w.originDraws).To(HaveEach(0))
 }
+
+// Failure answered: the origin was away for 6.4 s while a version spread. One
+// chunk was asked for seven seconds longer at machines taken by chance that
+// did not hold it.
+func TestChunksComeSoonAfterTheOriginIsBack(t *testing.T) {
+	const away, back = 100 * time.Millisecond, 6500 * time.Millisecond
+	patience := QuickTuning.Patience
+	limit := patience.MaxHoldOff + patience.MaxRetry + patience.PeerWait
+	for seed := range uint64(40) {
+		w := newWorld(addRelays(worldMembers(12, 3, 3), 7, 3, 3), 48, seed, NewChunkOwner(QuickTuning))
+		begin := w.clock.Now()
+		w.after(away, func() { w.originDown = true })
+		w.after(back, func() { w.originDown = false })
+		for !w.allHeld() && w.clock.Now().Before(begin.Add(time.Minute)) {
+			w.runUntil(w.clock.Now().Add(100 * time.Millisecond))
+		}
+		NewWithT(t).Expect(w.clock.Now().Sub(begin)).To(BeNumerically("<=", back+limit), "seed %d", seed)
+	}
+}
--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -55,7 +55,7 @@
 		err = s.store(r, fetch.Chunk, data)
 	}
 	if err != nil {
-		res.failure = failureOf(err)
+		res.err, res.failure = err, failureOf(err)
 		countFailure(res.failure)
 		return res
 	}
--- a/transfer/loop.go
+++ b/transfer/loop.go
@@ -106,6 +106,7 @@
 	}
 	if res.fetch.Source.IsOrigin() {
 		r.progress.OriginBytes += res.bytes
+		s.noteOrigin(res)
 	} else {
 		r.progress.PeerBytes += res.bytes
 	}
@@ -116,7 +117,7 @@
 				fmt.Sprintf("Chunk %d from %s was rejected: its digest does not hold.", res.fetch.Chunk, sourceName(res.fetch.Source)))
 			s.log.Warn("Chunk rejected.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source))
 		}
-		s.log.Debug("Fetch failed.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source), "failure", res.failure)
+		s.log.Debug("Fetch failed.", "version", r.manifest.Version, "chunk", res.fetch.Chunk, "source", sourceName(res.fetch.Source), "failure", res.failure, "err", res.err)
 		s.publish()
 		s.step(spread.FetchFailed{Chunk: res.fetch.Chunk, Source: res.fetch.Source, Failure: res.failure})
 		return
@@ -132,6 +133,20 @@
 	s.step(spread.ChunkHeld{Chunk: res.fetch.Chunk, Source: res.fetch.Source, Transfer: res.transfer})
 }
 
+// noteOrigin logs when the origin is lost and when it is back.
+func (s *Spreader) noteOrigin(res result) {
+	lost := !res.ok && res.failure == spread.FailureTimeout
+	if lost == s.originLost {
+		return
+	}
+	s.originLost = lost
+	if lost {
+		s.log.Warn("The origin can't be read.", "version", res.run.manifest.Version, "chunk", res.fetch.Chunk, "err", res.err)
+		return
+	}
+	s.log.Info("The origin is read again.", "version", res.run.manifest.Version, "chunk", res.fetch.Chunk)
+}
+
 func (s *Spreader) checkDone() {
 	r := s.current
 	if r.progress.Done || r.progress.Held < r.progress.Total {
--- a/transfer/run.go
+++ b/transfer/run.go
@@ -42,8 +42,10 @@
 	run     *run
 	fetch   spread.Fetch
 	failure spread.Failure
-	ok      bool
-	bytes   int64
+	// err is why the fetch brought nothing.
+	err   error
+	ok    bool
+	bytes int64
 	// transfer is the time from the first byte to the last.
 	transfer time.Duration
 }
--- a/transfer/spreader.go
+++ b/transfer/spreader.go
@@ -39,9 +39,11 @@
 	unknown                      *rate.Limiter
 
 	// Owned by the event loop.
-	current  *run
-	inFlight int
-	fetchers sync.WaitGroup
+	current *run
+	// originLost says that the last fetch from the origin brought nothing.
+	originLost bool
+	inFlight   int
+	fetchers   sync.WaitGroup
 
 	// originRegion is where the origin stands; it may become known late.
 	originRegion atomic.Pointer[core.RegionID]
