Endpoints whose address another has get no calls

Change: an entry made later takes the address of one made earlier; news of a later start of an engine end the earlier; an endpoint that answered as another is passed over for 3 s, until now for 0.1 s. Ruled out: taking the entry that was changed last (an old entry is changed when its endpoint is marked as leaving).

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -33,6 +33,8 @@
 	Boot int64
 	// Weights are the layers that it holds; empty for plain services.
 	Weights []LoadedLayers
+	// Registered is the store's revision at which the entry was made.
+	Registered uint64
 	// SeenAt is when this process learned of the entry.
 	SeenAt boottime.Instant
 }
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -116,6 +116,7 @@
 		next.ZonesOut[f.Zone] = true
 		h.log.Info("A zone takes no new work.", "zone", f.Zone, "revision", change.Revision)
 	case EndpointFact:
+		f.Endpoint.Registered = change.Created
 		h.takeEndpoint(next, f.Endpoint, change.Revision)
 	}
 }
@@ -132,6 +133,9 @@
 }
 
 func (h *Holder) takeEndpoint(next *View, endpoint *Endpoint, revision uint64) {
+	if !h.takeAddress(next, endpoint) {
+		return
+	}
 	endpoint.SeenAt = h.now()
 	before := next.Endpoints[endpoint.ID]
 	next.Endpoints[endpoint.ID] = endpoint
@@ -142,6 +146,24 @@
 	}
 }
 
+// takeAddress removes the endpoints that had the address before, whose entries
+// outlive them by seconds. It returns false when the endpoint itself is one.
+func (h *Holder) takeAddress(next *View, endpoint *Endpoint) bool {
+	for id, other := range next.Endpoints {
+		if id == endpoint.ID || other.Address == "" || other.Address != endpoint.Address {
+			continue
+		}
+		if other.Registered > endpoint.Registered {
+			delete(next.Endpoints, endpoint.ID)
+			return false
+		}
+		delete(next.Endpoints, id)
+		delete(h.lapsing, id)
+		h.log.Info("Endpoint gone: another has its address.", "endpoint", id, "address", other.Address, "successor", endpoint.ID)
+	}
+	return true
+}
+
 func (h *Holder) remove(next *View, key string) {
 	fact, ok := h.decoder.Deleted(key)
 	if !ok {
@@ -202,10 +224,15 @@
 	h.publish(next)
 }
 
-// keepLapsing keeps endpoints that are missing after an outage for lapseGrace.
+// keepLapsing keeps endpoints that are missing after an outage for lapseGrace,
+// but for those whose address another has.
 func (h *Holder) keepLapsing(before, next *View) {
+	taken := make(map[string]bool, len(next.Endpoints))
+	for _, endpoint := range next.Endpoints {
+		taken[endpoint.Address] = endpoint.Address != ""
+	}
 	for id, endpoint := range before.Endpoints {
-		if _, registered := next.Endpoints[id]; registered {
+		if _, registered := next.Endpoints[id]; registered || taken[endpoint.Address] {
 			continue
 		}
 		next.Endpoints[id] = endpoint
--- a/fleet/holder_test.go
+++ b/fleet/holder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +17,8 @@
 	"github.com/zinniaseam/zinniaseam/metastore"
 )
 
-// decoder reads keys of the form endpoint/ID, zone/NAME and deployment.
+// decoder reads keys of the form endpoint/ID, zone/NAME and deployment. The value
+// of an endpoint is its address.
 type decoder struct{}
 
 func (decoder) Decode(key string, value []byte) (fleet.Fact, bool, error) {
@@ -26,6 +29,9 @@
 		return fleet.DeploymentFact{Deployment: &catalogue.Deployment{Revision: int64(len(value))}}, true, nil
 	}
 	fact, ok := decoder{}.Deleted(key)
+	if endpoint, is := fact.(fleet.EndpointFact); is {
+		endpoint.Endpoint.Address = string(value)
+	}
 	return fact, ok, nil
 }
 
@@ -48,8 +54,8 @@
 func TestEndpointsThatLapsedInAnOutageAreKeptForTwoSeconds(t *testing.T) {
 	g := NewWithT(t)
 	h, now := newHolder()
-	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x"), item("endpoint/b", "x")}}, *now, false)
-	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x")}}, *now, true)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1"), item("endpoint/b", "x:2")}}, *now, false)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, true)
 	g.Expect(h.View().Endpoints).To(HaveLen(2))
 	*now = now.Add(1900 * time.Millisecond)
 	h.Expire()
@@ -62,9 +68,9 @@
 func TestAnEndpointThatComesBackInTimeStays(t *testing.T) {
 	g := NewWithT(t)
 	h, now := newHolder()
-	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x")}}, *now, false)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
 	h.Replace(metastore.Snapshot{}, *now, true)
-	h.Apply([]metastore.Change{item("endpoint/a", "x")}, 5, *now)
+	h.Apply([]metastore.Change{item("endpoint/a", "x:1")}, 5, *now)
 	*now = now.Add(time.Minute)
 	h.Expire()
 	g.Expect(h.View().Endpoints).To(HaveLen(1))
@@ -73,7 +79,7 @@
 func TestARemovedEntryEndsAnEndpointAtOnceWhileTheStoreIsThere(t *testing.T) {
 	g := NewWithT(t)
 	h, now := newHolder()
-	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x")}}, *now, false)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
 	h.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 5, *now)
 	g.Expect(h.View().Endpoints).To(BeEmpty())
 }
@@ -89,6 +95,36 @@
 func TestAnEntryThatCannotBeReadNamesNoEndpointAndTheOthersHold(t *testing.T) {
 	g := NewWithT(t)
 	h, now := newHolder()
-	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "bad"), item("endpoint/b", "x")}}, *now, false)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "bad"), item("endpoint/b", "x:2")}}, *now, false)
+	g.Expect(h.View().Endpoints).To(HaveLen(1))
+}
+
+// Load pattern: all machines start again at once. Their endpoints register under
+// new names at the same addresses, three seconds before the old entries end.
+func TestAnEndpointTakesTheAddressOfTheOneBefore(t *testing.T) {
+	g := NewWithT(t)
+	h, now := newHolder()
+	old := metastore.Change{Key: "endpoint/a", Value: []byte("10.0.0.1:80"), Created: 3, Revision: 3}
+	young := metastore.Change{Key: "endpoint/b", Value: []byte("10.0.0.1:80"), Created: 9, Revision: 9}
+	other := metastore.Change{Key: "endpoint/c", Value: []byte("10.0.0.2:80"), Created: 4, Revision: 4}
+	ids := func() []fleet.EndpointID { return slices.Sorted(maps.Keys(h.View().Endpoints)) }
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{old, other}}, *now, false)
+	h.Apply([]metastore.Change{young}, 9, *now)
+	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
+	old.Revision = 10
+	h.Apply([]metastore.Change{old}, 10, *now)
+	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{young, old, other}}, *now, true)
+	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
+	h.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 11, *now)
+	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
+}
+
+func TestAnOutageKeepsNoEndpointWhoseAddressIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	h, now := newHolder()
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
+	h.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/b", "x:1")}}, *now, true)
 	g.Expect(h.View().Endpoints).To(HaveLen(1))
+	g.Expect(h.View().Endpoints).To(HaveKey(fleet.EndpointID("b")))
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -57,7 +57,7 @@
 	Foreign bool
 	// NotRun says that the endpoint did not run the request and will not.
 	NotRun bool
-	// Misdirected says that another endpoint has the address, or other weights.
+	// Misdirected says that another endpoint has the address.
 	Misdirected bool
 	// Leaving says that the endpoint closes the connection.
 	Leaving bool
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -24,7 +24,9 @@
 	// Value is nil for a deleted key.
 	Value    []byte
 	Revision uint64
-	Deleted  bool
+	// Created is the revision of the key's creation, 0 for a deleted key.
+	Created uint64
+	Deleted bool
 }
 
 // Snapshot is the content under a prefix at a revision.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -61,7 +61,7 @@
 
 // may reports whether the rules let an endpoint run a request.
 func (p *Placer) may(now boottime.Instant, e *endpointState, request *Request) bool {
-	if e.Draining || p.view.ZonesOut[e.Zone] || slices.Contains(request.Tried, e.ID) {
+	if e.Draining || e.gone(now) || p.view.ZonesOut[e.Zone] || slices.Contains(request.Tried, e.ID) {
 		return false
 	}
 	for _, homes := range request.Homes {
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -65,6 +65,10 @@
 	callTime time.Duration
 	// closedUntil is when the endpoint may be tried again after it refused.
 	closedUntil boottime.Instant
+	// replaced says that a later start answers at the address, and replacedUntil is
+	// until when this is taken for granted after a call found another endpoint there.
+	replaced      bool
+	replacedUntil boottime.Instant
 }
 
 func newEndpointState(endpoint *fleet.Endpoint) *endpointState {
@@ -93,6 +97,15 @@
 	return e.news.At != 0 && now.Sub(e.news.At) < newsLife && e.news.Loading
 }
 
+// gone reports whether another endpoint has the address.
+//
+// Load pattern answered: all machines start again at once, and the entries of the
+// endpoints from before are there for three more seconds. Each call would try
+// them one after the other and be turned away, while the new ones load.
+func (e *endpointState) gone(now boottime.Instant) bool {
+	return e.replaced || now.Before(e.replacedUntil)
+}
+
 // closing reports whether the engine will have other weights loaded before a
 // call is likely to have ended.
 //
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -70,7 +70,7 @@
 	EndLeft
 	// EndOverdue means that the call was moved because its first byte did not come.
 	EndOverdue
-	// EndMisdirected means that another endpoint has the address, or other weights.
+	// EndMisdirected means that another endpoint has the address.
 	EndMisdirected
 )
 
@@ -90,8 +90,10 @@
 	case EndAnswered:
 		e.health.answered()
 		e.learn(now.Sub(ticket.sentAt))
-	case EndRefused, EndMisdirected:
+	case EndRefused:
 		e.closedUntil = now.Add(refusedFor)
+	case EndMisdirected:
+		e.replacedUntil = now.Add(misdirectedFor)
 	case EndFailed:
 		e.health.failed(now)
 	case EndOverdue:
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -39,6 +39,9 @@
 	zoneCost   = 2 * time.Millisecond
 	// refusedFor is how long an endpoint is passed over that refused a call.
 	refusedFor = 100 * time.Millisecond
+	// misdirectedFor is how long an endpoint is passed over when another one answered
+	// at its address: entries of endpoints that are gone last up to 3 s.
+	misdirectedFor = 3 * time.Second
 	// leastVersionMargin is kept from the time in which older weights may begin work:
 	// a call begins with its first token, which a full engine writes up to 0.4 s
 	// after the call was sent, and a declaration is known up to 0.2 s late. The
@@ -142,7 +145,10 @@
 			state.news.Unreachable = true
 			continue
 		}
-		if state.Boot == 0 || state.Boot == news.Boot {
+		switch {
+		case state.Boot != 0 && news.Boot > state.Boot:
+			state.replaced = true
+		case state.Boot == 0 || state.Boot == news.Boot:
 			state.news = news
 			state.takeReport(Report{Running: news.Running, Waiting: news.Waiting, At: news.At})
 		}
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -340,3 +340,33 @@
 	p.Ended(start, own, placement.EndAnswered)
 	g.Expect(p.Submit(start, call(start)).Decision().Verdict).To(Equal(placement.Place))
 }
+
+// Load pattern: all machines start again at once; the entries of their endpoints
+// from before are there for three more seconds.
+func TestNothingGoesToAnEndpointWhoseAddressAnotherHas(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacer(fleetView(2, 1))
+	first := p.Submit(start, call(start))
+	found := first.Decision().Endpoint.ID
+	p.Ended(start, first, placement.EndMisdirected)
+	now := start.Add(time.Millisecond)
+	for range slots {
+		decision := p.Submit(now, call(now)).Decision()
+		g.Expect(decision.Verdict).To(Equal(placement.Place))
+		g.Expect(decision.Endpoint.ID).NotTo(Equal(found))
+	}
+	later := start.Add(5 * time.Second)
+	g.Expect(p.Submit(later, call(later)).Decision().Endpoint.ID).To(Equal(found))
+}
+
+func TestNewsOfALaterStartEndAnEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	view := fleetView(1, 1)
+	p := newPlacer(view)
+	p.EngineNews(placement.EngineNews{Address: "10.0.0.1:80", Boot: 2, Version: 1, At: start})
+	g.Expect(p.Submit(start, call(start)).Decision().Verdict).To(Equal(placement.Wait))
+	again := fleetView(1, 1)
+	again.Endpoints["e0"].Boot = 2
+	p.SetView(start, again)
+	g.Expect(p.Submit(start, call(start)).Decision().Verdict).To(Equal(placement.Place))
+}
