Relays cut off from the origin send those away who could draw instead

Cause: a relay that can't read the origin, but is reached by its region, went on holding requests for the chunks that are its to draw. The next ranks began to draw them only after two waits of a second. Change: while the latest draw of a process failed, it answers other relays of its region that it has nothing; they then draw themselves. Machines that hold no relay's place go on waiting. A chunk that a source did not hold is asked for again after 0.1 to 0.2 s (0.2 to 0.4 s before).

--- a/spread/chunk_owner_failures.go
+++ b/spread/chunk_owner_failures.go
@@ -66,7 +66,7 @@
 	if waited {
 		return 0
 	}
-	return p.jitter(2 * ownerRetry)
+	return p.jitter(ownerRetry)
 }
 
 func (p *chunkOwner) noteOriginFailure(now time.Time, record *chunkRecord, failure Failure) time.Duration {
--- a/spread/chunk_owner_test.go
+++ b/spread/chunk_owner_test.go
@@ -313,3 +313,27 @@
 		NewWithT(t).Expect(w.clock.Now().Sub(begin)).To(BeNumerically("<=", back+limit), "seed %d", seed)
 	}
 }
+
+// Load pattern: one of the relays that draw from the origin is cut off from it,
+// but not from the other machines. Its chunks, a third of all, come by the two
+// others of its region, which may both draw one.
+func TestOtherRelaysDrawForOneThatIsCutOffFromTheOrigin(t *testing.T) {
+	const limit = 2 * time.Second
+	for seed := range uint64(40) {
+		w := newWorld(addRelays(worldMembers(12, 3, 3), 9, 3, 3), 48, seed, NewChunkOwner(QuickTuning))
+		begin := w.clock.Now()
+		for _, n := range w.nodes {
+			if n.member.Relay && n.member.Region == worldOrigin {
+				n.refused = true
+				break
+			}
+		}
+		for !w.allHeld() && w.clock.Now().Before(begin.Add(time.Minute)) {
+			w.runUntil(w.clock.Now().Add(50 * time.Millisecond))
+		}
+		g := NewWithT(t)
+		g.Expect(w.broken).To(BeEmpty())
+		g.Expect(w.clock.Now().Sub(begin)).To(BeNumerically("<=", limit), "seed %d", seed)
+		g.Expect(w.reads).To(BeNumerically("<=", 1.4*48), "seed %d", seed)
+	}
+}
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -23,18 +23,24 @@
 	originDown  bool
 	corrupt     float64
 	originDraws []int
-	broken      []string
+	// reads counts the chunks that came from the origin.
+	reads  int
+	broken []string
 }
 
 type worldNode struct {
-	member   Member
-	policy   Policy
-	members  []Member
-	held     []bool
-	dead     bool
-	cut      bool
-	inFlight map[int]bool
-	tick     time.Time
+	member  Member
+	policy  Policy
+	members []Member
+	held    []bool
+	dead    bool
+	cut     bool
+	// refused says that the origin refuses this machine at once, and originLost that
+	// the latest fetch from it failed: requests are then not held.
+	refused    bool
+	originLost bool
+	inFlight   map[int]bool
+	tick       time.Time
 }
 
 const (
@@ -187,12 +193,14 @@
 	look = func() {
 		switch {
 		case n.dead:
+		case fetch.Source.IsOrigin() && n.refused:
+			w.finish(n, fetch, FailureTimeout, false)
 		case w.silent(n, fetch):
 			w.after(fetch.Timeout, func() { w.finish(n, fetch, FailureTimeout, false) })
 		case fetch.Source.IsOrigin() || w.byID[fetch.Source.Peer].held[fetch.Chunk]:
 			corrupt := w.chance.Float64() < w.corrupt
 			w.finish(n, fetch, FailureCorrupt, !corrupt)
-		case !w.clock.Now().Before(deadline):
+		case !w.clock.Now().Before(deadline) || n.member.Relay && w.byID[fetch.Source.Peer].member.Region == n.member.Region && w.byID[fetch.Source.Peer].originLost:
 			w.finish(n, fetch, FailureMissing, false)
 		default:
 			w.after(5*worldLatency, look)
@@ -214,11 +222,17 @@
 	if n.dead {
 		return
 	}
+	if fetch.Source.IsOrigin() {
+		n.originLost = !ok && failure == FailureTimeout
+	}
 	if !ok {
 		w.step(n, FetchFailed{Chunk: fetch.Chunk, Source: fetch.Source, Failure: failure})
 		return
 	}
 	n.held[fetch.Chunk] = true
+	if fetch.Source.IsOrigin() {
+		w.reads++
+	}
 	w.step(n, ChunkHeld{Chunk: fetch.Chunk, Source: fetch.Source})
 }
 
--- a/transfer/board.go
+++ b/transfer/board.go
@@ -17,6 +17,10 @@
 	waiters  map[int]chan struct{}
 	// changed is closed when another version becomes the wanted one.
 	changed chan struct{}
+	// originLost says that this machine can't read the origin, relays are those of
+	// its region.
+	originLost bool
+	relays     map[core.VMID]bool
 }
 
 func newBoard() *board {
@@ -27,16 +31,47 @@
 func (b *board) reset(manifest *core.Manifest, held []bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for chunk, waiter := range b.waiters {
-		close(waiter)
-		delete(b.waiters, chunk)
-	}
+	b.wakeAll()
 	b.manifest = manifest
 	b.held = append([]bool(nil), held...)
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
 
+func (b *board) wakeAll() {
+	for chunk, waiter := range b.waiters {
+		close(waiter)
+		delete(b.waiters, chunk)
+	}
+}
+
+// setRelays replaces the relays of this machine's region.
+func (b *board) setRelays(relays map[core.VMID]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.relays = relays
+}
+
+// setOrigin notes whether this machine can read the origin.
+func (b *board) setOrigin(lost bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.originLost = lost
+	if lost {
+		b.wakeAll()
+	}
+}
+
+// passesOn reports whether a requester is sent away rather than let wait.
+//
+// Load pattern answered: one of the relays that draw from the origin is cut off
+// from it alone. Another of its region may draw in its place, as soon as it knows.
+func (b *board) passesOn(requester core.VMID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.originLost && b.relays[requester]
+}
+
 // set marks a chunk and wakes those who wait for it.
 func (b *board) set(chunk int, held bool) {
 	b.mu.Lock()
--- a/transfer/loop.go
+++ b/transfer/loop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/spread"
 	"github.com/zinniaseam/zinniaseam/timeline"
 )
@@ -38,10 +39,22 @@
 	if s.current == nil {
 		return
 	}
-	s.regions.setMembers(s.current.manifest.Version, s.config.Self, members)
+	s.noteMembers(s.current.manifest.Version, members)
 	s.step(spread.MembersChanged{Members: members})
 }
 
+// noteMembers tells the members to the goroutines that serve chunks.
+func (s *Spreader) noteMembers(version core.VersionID, members []spread.Member) {
+	s.regions.setMembers(version, s.config.Self, members)
+	relays := map[core.VMID]bool{}
+	for _, m := range members {
+		if m.Relay && m.Region == s.config.Self.Region {
+			relays[m.ID] = true
+		}
+	}
+	s.board.setRelays(relays)
+}
+
 func lostChunks(before, now []bool) []int {
 	var lost []int
 	for chunk, held := range before {
@@ -62,7 +75,7 @@
 		Manifest: c.manifest, Held: append([]bool(nil), c.held...), Members: c.members, Seed: s.config.Seed,
 	})
 	s.current = r
-	s.regions.setMembers(c.manifest.Version, s.config.Self, c.members)
+	s.noteMembers(c.manifest.Version, c.members)
 	s.board.reset(c.manifest, c.held)
 	s.record(timeline.KindSpreadStart, string(c.manifest.Version),
 		fmt.Sprintf("Spread started with %d of %d chunks held.", r.startHeld, r.progress.Total))
@@ -140,6 +153,7 @@
 		return
 	}
 	s.originLost = lost
+	s.board.setOrigin(lost)
 	if lost {
 		s.log.Warn("The origin can't be read.", "version", res.run.manifest.Version, "chunk", res.fetch.Chunk, "err", res.err)
 		return
--- a/transfer/relay_test.go
+++ b/transfer/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -45,6 +46,40 @@
 	}
 }
 
+// cutOffOrigin refuses every call at once.
+type cutOffOrigin struct{}
+
+func (cutOffOrigin) ReadRange(context.Context, core.VersionID, int64, []byte, func(int) error) error {
+	return errors.New("connection refused")
+}
+
+// Load pattern: one of three relays is cut off from the origin, but not from the
+// other machines.
+func TestAnotherRelayDrawsForOneThatIsCutOffFromTheOrigin(t *testing.T) {
+	g := NewWithT(t)
+	members := grid(1, 1, 3)
+	var cutOff core.VMID
+	for _, m := range grid(1, 1, 3) {
+		m.ID += "-relay"
+		m.Relay = true
+		members = append(members, m)
+		cutOff = m.ID
+	}
+	c := startCluster(t, members, func(config *transfer.Config) {
+		config.Policy = "chunk_owner_quick"
+		if config.Self.ID == cutOff {
+			config.Origin = cutOffOrigin{}
+		}
+	})
+	data, m := weights("v1", 24, 1)
+	c.origin.add(data, m)
+	began := time.Now()
+	c.want(t, m)
+	c.awaitAll(t, "v1")
+	// Two waits for a chunk at a relay that expects it.
+	g.Expect(time.Since(began)).To(BeNumerically("<=", 2*spread.QuickTuning.Patience.PeerWait))
+}
+
 func TestAChunkIsSentNoFasterThanTheReceiverAsks(t *testing.T) {
 	g := NewWithT(t)
 	members := []spread.Member{member(0, 0, 0), member(0, 0, 1)}
--- a/transfer/serve.go
+++ b/transfer/serve.go
@@ -105,6 +105,9 @@
 		if state != chunkExpected {
 			return state == chunkHeld, nil
 		}
+		if s.board.passesOn(core.VMID(req.GetRequester())) {
+			return false, nil
+		}
 		if err := waitWithHeartbeat(ctx, wake, stream); err != nil {
 			return false, stream.Context().Err()
 		}
