--- a/activation/event.go
+++ b/activation/event.go
@@ -78,6 +78,8 @@
 	Result OrderResult
 	// Boot is the boot that responded, set with OrderDone.
 	Boot uint64
+	// Err is why the order did not end with OrderDone, for logs.
+	Err error
 }
 
 // Draining reports that the process is stopping; it sends no further orders.
--- a/activation/send_order.go
+++ b/activation/send_order.go
@@ -17,8 +17,8 @@
 // SendOrder performs an Order and returns the event to report. Any error that does not
 // state what the engine did yields OrderLost.
 func SendOrder(ctx context.Context, loader Loader, o Order) OrderEnded {
-	ended := OrderEnded{Number: o.Order.Fence}
 	reply, err := loader.Load(ctx, &o.Order)
+	ended := OrderEnded{Number: o.Order.Fence, Err: err}
 	switch {
 	case err == nil:
 		ended.Result, ended.Boot = OrderDone, reply.Boot
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,8 @@
 	Weights []fleet.LoadedLayers
 	// Pace is above 1 for an engine that is slower than declared.
 	Pace float64
+	// Orders is the number of load orders that the engine has begun since its start.
+	Orders int64
 }
 
 // Engine is a client of the engine on the agent's VM.
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -84,6 +84,11 @@
 	// boot is the engine's start time in that report.
 	loaded int64
 	boot   int64
+	// orders is the engine's count of orders in that report.
+	orders int64
+	// verifiedAt is when the last successful verification of the staged weights began to
+	// read them.
+	verifiedAt atomic.Int64
 	// idle is set if the last report counted no running and no waiting calls.
 	idle bool
 	// planned is the planned weight switch; onPlan is called with its time when it
@@ -273,7 +278,7 @@
 		}
 		u.boot, u.loaded = report.Boot, loaded
 	}
-	u.idle = report.Running+report.Waiting == 0
+	u.idle, u.orders = report.Running+report.Waiting == 0, report.Orders
 	status := engine.Status{Boot: uint64(report.Boot), State: engine.StateEmpty}
 	if loaded > 0 && u.declared != nil {
 		status.State, status.Version = engine.StateReady, u.config.Version(u.declared.GetModel(), loaded)
@@ -299,7 +304,7 @@
 	chosen, changed := u.versions.Choose(rollout.Choice{Now: boottime.Now(), Limit: u.config.SwitchTime, Serving: u.loaded > 0, SwitchAt: u.earliestSwitch()})
 	if changed {
 		if former != nil {
-			u.log.Info("Staging another version.", "version", chosen.ID, "staged", chosen.ChunksPresent(), "former", former.ID, "formerStaged", former.ChunksPresent())
+			u.log.Info("Staging another version.", "version", chosen.ID, "staged", chosen.ChunksPresent(), "former", former.ID, "formerStaged", former.ChunksPresent(), "engineOrders", u.orders)
 		}
 		u.revision++
 		u.staging.SetManifest(chosen.Manifest)
@@ -344,7 +349,8 @@
 			// have superseded this one.
 			u.step(ctx, activation.HolderConfirmed{})
 		case activation.Order:
-			u.log.Info("Sending a load order to the engine.", "version", a.Order.Version, "boot", u.boot, "formerVersion", u.loaded)
+			u.log.Info("Sending a load order to the engine.", "version", a.Order.Version, "number", a.Order.Fence, "boot", u.boot, "formerVersion", u.loaded,
+				"verifiedMs", boottime.Now().Sub(boottime.Instant(u.verifiedAt.Load())).Milliseconds(), "engineOrders", u.orders)
 			go u.sendOrder(ctx, a)
 		case activation.Activated:
 			u.log.Info("The engine serves the version.", "version", a.Target.Version, "boot", a.Target.Boot)
@@ -361,9 +367,13 @@
 func (u *updater) verify(ctx context.Context, action activation.VerifyStaging) {
 	callCtx, cancel := context.WithTimeout(ctx, stagingTimeout)
 	defer cancel()
+	began := boottime.Now()
 	staged, err := u.staging.List(callCtx, action.Manifest.Version)
 	complete := err == nil && len(staged) == len(action.Manifest.Chunks)
-	if !complete {
+	if complete {
+		u.verifiedAt.Store(int64(began))
+		u.log.Info("The staged weights are complete.", "version", action.Manifest.Version, "boot", action.Boot, "chunks", len(staged), "tookMs", boottime.Now().Sub(began).Milliseconds())
+	} else {
 		u.log.Warn("The staged weights are incomplete; staging them again.", "version", action.Manifest.Version, "held", len(staged), "chunks", len(action.Manifest.Chunks), "err", err)
 	}
 	target := activation.Target{Version: action.Manifest.Version, Digest: action.Manifest.Whole, Boot: action.Boot}
@@ -374,9 +384,11 @@
 func (u *updater) sendOrder(ctx context.Context, action activation.Order) {
 	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	sent := boottime.Now()
 	ended := activation.SendOrder(callCtx, u.loader, action)
 	if ended.Result != activation.OrderDone {
-		u.log.Warn("The load order failed.", "version", action.Order.Version, "result", ended.Result)
+		u.log.Warn("The load order failed.", "version", action.Order.Version, "number", action.Order.Fence, "result", ended.Result,
+			"ms", boottime.Now().Sub(sent).Milliseconds(), "verifiedMs", boottime.Now().Sub(boottime.Instant(u.verifiedAt.Load())).Milliseconds(), "err", ended.Err)
 	}
 	u.queue(ctx, ended)
 }
