Failing tests: an engine accepts an order on chunks other than those verified

A stand-in for an engine with one unchecked copy of each model's chunks, which takes what is staged when it accepts an order.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -103,6 +103,19 @@
 
 // start runs an agent for an engine and returns the agent's address.
 func start(t *testing.T, e *fakeEngine) string {
+	t.Helper()
+	e.MemoryStaging = transfer.NewMemoryStaging(2)
+	return startFor(t, e)
+}
+
+// engineClient is all that an agent uses of its engine.
+type engineClient interface {
+	agent.Engine
+	agent.Staging
+	agent.Loader
+}
+
+func startFor(t *testing.T, e engineClient) string {
 	t.Helper()
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -113,7 +126,6 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	peerPort, err := strconv.Atoi(port)
 	g.Expect(err).NotTo(HaveOccurred())
-	e.MemoryStaging = transfer.NewMemoryStaging(2)
 	a, err := agent.New(agent.Config{
 		EngineAddress: address, Zone: "z", Region: "r", Listen: address, PeerPort: peerPort, SwitchTime: 2 * time.Second,
 		StopTimeout: time.Second, MetricsListen: "127.0.0.1:0", Version: versionID,
--- /dev/null
+++ b/agent/staging_test.go
@@ -0,0 +1,272 @@
+package agent_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/adapters/engine"
+	"github.com/zinniaseam/zinniaseam/agent"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/transfer"
+)
+
+// excusedRot is how long before an order was accepted a staged chunk may have turned bad.
+const excusedRot = 3 * time.Second
+
+var errOrder = errors.New("order failed")
+
+// singleCopyEngine stages one copy of a model without checking it, and loads what is staged
+// at the moment at which it accepts an order. It records each accepted order for which
+// that was not the complete ordered version.
+type singleCopyEngine struct {
+	// onOrder decides on the order with the given number, from 1 on. It returns after how
+	// long the order is accepted, and the error that its sender gets at once, nil to wait
+	// for the load. An order with refused set is never accepted.
+	onOrder func(number int) (acceptAfter time.Duration, refused bool, err error)
+	// writeTime is the duration of a write of a version's chunk. A write that its caller
+	// abandons is carried out all the same.
+	writeTime func(version core.VersionID, index int) time.Duration
+
+	mu       sync.Mutex
+	staged   map[int][]byte
+	spoiltAt map[int]time.Time
+	version  int64
+	loading  bool
+	orders   int
+	accepted []core.VersionID
+	broken   []string
+}
+
+func (e *singleCopyEngine) Report(context.Context) (agent.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := agent.EngineReport{Boot: 7, Running: 1, Loading: e.loading, Pace: 1, Orders: int64(len(e.accepted))}
+	if e.version > 0 {
+		report.Weights = []fleet.LoadedLayers{{Model: "m", Version: e.version, From: 0, To: 1}}
+	}
+	return report, nil
+}
+
+func (e *singleCopyEngine) SetManifest(*core.Manifest) {}
+
+func (e *singleCopyEngine) Put(ctx context.Context, version core.VersionID, index int, data []byte) error {
+	done := make(chan struct{})
+	apply := func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.staged[index] = data
+		delete(e.spoiltAt, index)
+		close(done)
+	}
+	took := time.Duration(0)
+	if e.writeTime != nil {
+		took = e.writeTime(version, index)
+	}
+	time.AfterFunc(took, apply)
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *singleCopyEngine) Get(_ context.Context, _ core.VersionID, index int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, ok := e.staged[index]
+	if !ok {
+		return nil, transfer.ErrNotStaged
+	}
+	return data, nil
+}
+
+func (e *singleCopyEngine) List(_ context.Context, version core.VersionID) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var indices []int
+	for index, data := range e.staged {
+		if bytes.Equal(data, chunkOf(version, index)) {
+			indices = append(indices, index)
+		}
+	}
+	return indices, nil
+}
+
+func (e *singleCopyEngine) Drop(context.Context, core.VersionID) error { return nil }
+
+func (e *singleCopyEngine) Load(ctx context.Context, order *engine.LoadOrder) (*engine.LoadReply, error) {
+	e.mu.Lock()
+	e.orders++
+	number := e.orders
+	e.mu.Unlock()
+	var acceptAfter time.Duration
+	var refused bool
+	var err error
+	if e.onOrder != nil {
+		acceptAfter, refused, err = e.onOrder(number)
+	}
+	served := make(chan struct{})
+	if !refused {
+		time.AfterFunc(acceptAfter, func() { e.accept(order.Version, served) })
+	}
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-served:
+		return &engine.LoadReply{Version: order.Version, Boot: 7}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// accept takes what is staged and serves it after a while.
+func (e *singleCopyEngine) accept(version core.VersionID, served chan<- struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accepted = append(e.accepted, version)
+	for index := range chunks {
+		excused := !e.spoiltAt[index].IsZero() && time.Since(e.spoiltAt[index]) <= excusedRot
+		if !bytes.Equal(e.staged[index], chunkOf(version, index)) && !excused {
+			e.broken = append(e.broken, fmt.Sprintf("%s accepted with chunk %d holding %q", version, index, bytes.TrimRight(e.staged[index], "\x00")))
+		}
+	}
+	e.loading = true
+	time.AfterFunc(50*time.Millisecond, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading = false
+		if _, err := fmt.Sscanf(string(version), "m/%d", &e.version); err != nil {
+			panic(err)
+		}
+		close(served)
+	})
+}
+
+// spoil makes a staged chunk bad.
+func (e *singleCopyEngine) spoil(index int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[index] = []byte("bad")
+	e.spoiltAt[index] = time.Now()
+}
+
+func (e *singleCopyEngine) serves() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+func (e *singleCopyEngine) ordered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+func (e *singleCopyEngine) acceptedOrders() []core.VersionID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]core.VersionID(nil), e.accepted...)
+}
+
+func (e *singleCopyEngine) brokenLoads() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.broken...)
+}
+
+func newSingleCopyEngine() *singleCopyEngine {
+	return &singleCopyEngine{staged: map[int][]byte{}, spoiltAt: map[int]time.Time{}}
+}
+
+// The engine refuses orders for a while, and a chunk turns bad meanwhile.
+func TestARefusedOrderIsNotRepeatedOnChunksThatTurnedBad(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	until := time.Time{}
+	var once sync.Once
+	e.onOrder = func(int) (time.Duration, bool, error) {
+		once.Do(func() { until = time.Now().Add(excusedRot + 500*time.Millisecond); e.spoil(2) })
+		if time.Now().Before(until) {
+			return 0, true, errOrder
+		}
+		return 0, false, nil
+	}
+	address := startFor(t, e)
+	follow(t, address, "gw", "r").declare(t, 2, address)
+	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
+
+// A newer version is declared while the order waits for a connection.
+func TestNoChunkIsWrittenBeforeTheEngineHasAcceptedAnOrder(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.onOrder = func(number int) (time.Duration, bool, error) {
+		if number == 1 {
+			return time.Second, false, nil
+		}
+		return 0, false, nil
+	}
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	gw.declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	gw.declare(t, 3, address)
+	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
+
+// The answer to the order is lost, the engine accepts it a little later, and a newer version
+// is declared meanwhile.
+func TestNoChunkIsWrittenWhileTheFateOfAnOrderIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.onOrder = func(number int) (time.Duration, bool, error) {
+		if number == 1 {
+			return 600 * time.Millisecond, false, errOrder
+		}
+		return 0, false, nil
+	}
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	gw.declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	gw.declare(t, 3, address)
+	g.Eventually(e.acceptedOrders, 10*time.Second, 10*time.Millisecond).Should(ContainElements(core.VersionID("m/2"), core.VersionID("m/3")))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
+
+// A version is abandoned for a newer one while one of its chunks is being written, and the
+// engine carries the write out after it has received the newer chunk.
+func TestAnAbandonedWriteDoesNotReplaceAVerifiedChunk(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	writing := make(chan struct{})
+	var once sync.Once
+	e.writeTime = func(version core.VersionID, index int) time.Duration {
+		if version != "m/2" || index != 1 {
+			return 0
+		}
+		once.Do(func() { close(writing) })
+		return 700 * time.Millisecond
+	}
+	// An engine with much to do takes a while to accept an order.
+	e.onOrder = func(int) (time.Duration, bool, error) { return 800 * time.Millisecond, false, nil }
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	gw.declare(t, 2, address)
+	g.Eventually(writing, 5*time.Second).Should(BeClosed())
+	gw.declare(t, 3, address)
+	g.Eventually(e.serves, 15*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
