An order is sent only within 2 s of the first read of its verification

Cause: the state machine kept 'verified' until the target changed, without a time. An order that was refused or whose result was lost was sent again without another look, and a suspension between the look and the order went unnoticed, since the machine was stepped with a clock that stops meanwhile. Staged chunks turn bad within that time; an engine takes them unchecked.

Now a verification carries the time of its first read.

Engines of our own protocol check the manifest themselves at a load; their processes set no limit.

--- a/activation/activation.go
+++ b/activation/activation.go
@@ -2,7 +2,8 @@
 // engine. It performs no I/O: Step takes an event and the time and returns actions.
 //
 // An order is sent only for a version whose complete digest was verified on the
-// engine's current boot, and only one order is open at a time. Calls are served only
+// engine's current boot, recently if Config.MaxVerifiedAge is set, and only one order is
+// open at a time. Calls are served only
 // while the engine reports the boot and version that this process has activated, so an
 // order from another process is detected by the next status poll.
 //
@@ -49,6 +50,10 @@
 	// order up to UnconfirmedWaitMax.
 	UnconfirmedWait    time.Duration
 	UnconfirmedWaitMax time.Duration
+	// MaxVerifiedAge is the maximum age of a verification, from the first chunk that it
+	// read, at which an order is sent. Engines that load what is staged without a check
+	// need it, since staged chunks may turn bad. Zero means no limit.
+	MaxVerifiedAge time.Duration
 	// PlainNames uses plain version names in orders. By default the name includes the
 	// boot, so that an order meant for another boot finds nothing staged.
 	PlainNames bool
@@ -104,7 +109,9 @@
 
 	staged   Target
 	verified Target
-	active   Target
+	// verifiedAt is when the verification of verified began to read the chunks.
+	verifiedAt time.Time
+	active     Target
 	// settings are those of the last order known to be executed.
 	settings string
 
--- a/activation/apply.go
+++ b/activation/apply.go
@@ -71,7 +71,7 @@
 	switch {
 	case v.Target != m.staged:
 	case v.OK:
-		m.verified = v.Target
+		m.verified, m.verifiedAt = v.Target, v.ReadAt
 	default:
 		m.discardStaging(v.Target)
 	}
@@ -122,6 +122,8 @@
 	}
 	m.openOrder = nil
 	switch e.Result {
+	case OrderNotSent:
+		m.active = ended.replaced
 	case OrderOldNumber:
 		m.active = ended.replaced
 		m.requireConfirmation()
--- a/activation/decide.go
+++ b/activation/decide.go
@@ -16,7 +16,7 @@
 	switch {
 	case m.active == target && m.ready(target) && m.settings == m.declared.settings():
 	case m.staged != target:
-	case m.verified != target:
+	case m.verified != target, m.verificationAge() > m.config.MaxVerifiedAge:
 		m.startCall(VerifyStaging{Manifest: m.declared.Manifest, Name: m.engineNameOf(target), Boot: target.Boot})
 	case !m.unconfirmedSince.IsZero():
 		m.startCall(ConfirmHolder{})
@@ -71,12 +71,21 @@
 	}
 	m.unresolved = nil
 	m.active = Target{}
-	m.emit(Order{Order: engine.LoadOrder{
+	m.emit(Order{ValidFor: m.config.MaxVerifiedAge - m.verificationAge(), Order: engine.LoadOrder{
 		Version: name, Fence: number, Manifest: manifest,
 		Role: m.declared.Role, Adapters: m.declared.Adapters,
 	}})
 }
 
+// verificationAge returns how long ago the verification began to read the staged chunks,
+// 0 if the age of verifications is not limited.
+func (m *Machine) verificationAge() time.Duration {
+	if m.config.MaxVerifiedAge == 0 {
+		return 0
+	}
+	return m.now.Sub(m.verifiedAt)
+}
+
 // nextNumber returns the number for the next order. If there is none, it requests a
 // block and returns false.
 func (m *Machine) nextNumber() (uint64, bool) {
--- a/activation/event.go
+++ b/activation/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/zinniaseam/zinniaseam/adapters/engine"
 	"github.com/zinniaseam/zinniaseam/core"
@@ -40,6 +41,9 @@
 type Verified struct {
 	Target Target
 	OK     bool
+	// ReadAt is when the first chunk was read. It matters only with
+	// Config.MaxVerifiedAge.
+	ReadAt time.Time
 }
 
 // NumbersGranted is the block of order numbers from First to Last, allocated to this
@@ -70,6 +74,9 @@
 	OrderOldNumber
 	// OrderIncomplete means that the staged weights do not form the complete version.
 	OrderIncomplete
+	// OrderNotSent means that the order was not sent, since its verification had become
+	// too old.
+	OrderNotSent
 )
 
 // OrderEnded is the result of Order.
@@ -104,8 +111,12 @@
 	// ConfirmHolder checks with the platform whether this process still holds the
 	// order numbers.
 	ConfirmHolder struct{}
-	// Order sends a load order to the engine.
-	Order struct{ Order engine.LoadOrder }
+	// Order sends a load order to the engine. With Config.MaxVerifiedAge it must not be
+	// sent later than ValidFor after the step that returned it.
+	Order struct {
+		Order    engine.LoadOrder
+		ValidFor time.Duration
+	}
 	// Activated reports that a version is in service.
 	Activated struct{ Target Target }
 	// Cold reports that the engine has restarted and holds no weights.
--- a/activation/send_order.go
+++ b/activation/send_order.go
@@ -22,6 +22,8 @@
 	switch {
 	case err == nil:
 		ended.Result, ended.Boot = OrderDone, reply.Boot
+	case errors.Is(err, engine.ErrOrderExpired):
+		ended.Result = OrderNotSent
 	case errors.Is(err, engine.ErrStaleFence):
 		ended.Result = OrderOldNumber
 	case errors.Is(err, engine.ErrIncomplete):
--- /dev/null
+++ b/activation/verification_test.go
@@ -0,0 +1,103 @@
+package activation
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/adapters/engine"
+	"github.com/zinniaseam/zinniaseam/core"
+)
+
+// uncheckedConfig is for an engine that loads what is staged without a check.
+var uncheckedConfig = Config{PlainNames: true, MaxVerifiedAge: 2 * time.Second, RetryWait: 100 * time.Millisecond}
+
+// uncheckedEngine drives a machine whose engine has just started.
+type uncheckedEngine struct {
+	machine  *Machine
+	now      time.Time
+	status   engine.Status
+	revision uint64
+}
+
+func newUncheckedEngine() *uncheckedEngine {
+	e := &uncheckedEngine{machine: New(uncheckedConfig), now: time.Unix(1000, 0), status: engine.Status{Boot: 7, State: engine.StateEmpty}}
+	e.step(NumbersGranted{First: 1, Last: 1000})
+	e.step(StatusSeen{Status: e.status})
+	return e
+}
+
+// step applies an event and confirms the holder if the machine asks for it.
+func (e *uncheckedEngine) step(event Event) []Action {
+	var out []Action
+	for _, a := range e.machine.Step(e.now, event) {
+		if _, confirm := a.(ConfirmHolder); confirm {
+			out = append(out, e.step(HolderConfirmed{})...)
+			continue
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// run lets time pass with a status every 100 ms and returns all actions.
+func (e *uncheckedEngine) run(span time.Duration) []Action {
+	var out []Action
+	for end := e.now.Add(span); e.now.Before(end); {
+		e.now = e.now.Add(100 * time.Millisecond)
+		out = append(out, e.step(StatusSeen{Status: e.status})...)
+	}
+	return out
+}
+
+func (e *uncheckedEngine) declare(version core.VersionID) (Target, []Action) {
+	e.revision++
+	manifest := &core.Manifest{Version: version, Whole: core.DigestOf([]byte(version))}
+	target := Target{Version: version, Digest: manifest.Whole, Boot: e.status.Boot}
+	return target, e.step(Declared{Revision: e.revision, Manifest: manifest})
+}
+
+var (
+	anOrder        = BeAssignableToTypeOf(Order{})
+	aVerification  = BeAssignableToTypeOf(VerifyStaging{})
+	onlyVerifies   = ConsistOf(aVerification)
+	suspensionTime = 4 * time.Second
+)
+
+func TestAnOrderIsNotSentOnAVerificationFromBeforeASuspension(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: target})).To(onlyVerifies)
+	readAt := e.now
+	e.now = e.now.Add(suspensionTime)
+	actions := e.step(Verified{Target: target, OK: true, ReadAt: readAt})
+	actions = append(actions, e.run(200*time.Millisecond)...)
+	g.Expect(actions).To(onlyVerifies, "the chunks may have turned bad meanwhile")
+	g.Expect(e.step(Verified{Target: target, OK: true, ReadAt: e.now})).To(ContainElement(anOrder))
+}
+
+func TestAnOrderWhoseResultWasLostIsRepeatedOnlyAfterAnotherVerification(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	g.Expect(sent).To(ConsistOf(anOrder))
+	g.Expect(sent[0].(Order).ValidFor).To(Equal(uncheckedConfig.MaxVerifiedAge))
+	g.Expect(e.run(3 * time.Second)).To(BeEmpty())
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+	g.Expect(e.run(3 * time.Second)).To(onlyVerifies)
+}
+
+func TestAnOrderThatExpiredBeforeItWasSentIsVerifiedAgain(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.now = e.now.Add(suspensionTime)
+	actions := e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderNotSent})
+	g.Expect(append(actions, e.run(200*time.Millisecond)...)).To(onlyVerifies)
+}
--- a/adapters/engine/client.go
+++ b/adapters/engine/client.go
@@ -41,6 +41,8 @@
 	ErrWrongVersion = errors.New("engine: other version loaded")
 	// ErrStaleFence means that the engine rejected an order with a stale fencing token.
 	ErrStaleFence = errors.New("engine: stale fencing token")
+	// ErrOrderExpired means that an order was not sent, since its NotAfter had passed.
+	ErrOrderExpired = errors.New("engine: order not sent: its verification is too old")
 	// ErrIncomplete means that the staged weights of the version are incomplete.
 	ErrIncomplete = errors.New("engine: staged weights incomplete")
 	// ErrNotStaged means that a chunk is not in the staging area.
--- a/adapters/engine/protocol.go
+++ b/adapters/engine/protocol.go
@@ -17,7 +17,10 @@
 // Every event of a stream is "data: <StreamEvent as JSON>"; the last is "data: [DONE]".
 package engine
 
-import "github.com/zinniaseam/zinniaseam/core"
+import (
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+)
 
 // HeaderBoot carries the engine's boot number in the answer to a chat completion.
 const HeaderBoot = "X-Engine-Boot"
@@ -113,6 +116,9 @@
 	// Role and Adapters are set only in orders that change them.
 	Role     string   `json:"role,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
+	// NotAfter is the latest time at which the order may be sent, 0 for no limit. It is
+	// not part of the message.
+	NotAfter boottime.Instant `json:"-"`
 }
 
 // LoadReply is the answer to a load order.
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -34,6 +34,9 @@
 	orderGrace = time.Second
 	// stagingTimeout bounds the read of all staged chunks.
 	stagingTimeout = 5 * time.Second
+	// maxVerifiedAge is how old the read of the staged chunks may be when the load order is
+	// sent. Engines excuse chunks that turned bad up to 3 s before they accept an order.
+	maxVerifiedAge = 2 * time.Second
 	// retryWait is the delay before a failed load order or check is retried.
 	retryWait = 100 * time.Millisecond
 	// manifestWait is how long the agent waits for a gateway to send the manifest
@@ -86,9 +89,6 @@
 	boot   int64
 	// orders is the engine's count of orders in that report.
 	orders int64
-	// verifiedAt is when the last successful verification of the staged weights began to
-	// read them.
-	verifiedAt atomic.Int64
 	// idle is set if the last report counted no running and no waiting calls.
 	idle bool
 	// planned is the planned weight switch; onPlan is called with its time when it
@@ -108,7 +108,7 @@
 		events: ring.New[activation.Event](eventQueueSize), declarations: ring.New[*peerpb.FleetNews](updateQueueSize),
 		engineUpdates: ring.New[[]*peerpb.FleetMember](updateQueueSize),
 		relayUpdates:  ring.New[[]*peerpb.FleetMember](updateQueueSize),
-		machine:       activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + orderGrace, CallTimeout: stagingTimeout, RetryWait: retryWait}),
+		machine:       activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + orderGrace, CallTimeout: stagingTimeout, RetryWait: retryWait, MaxVerifiedAge: maxVerifiedAge}),
 	}
 }
 
@@ -340,7 +340,8 @@
 
 // step passes one event to the state machine and executes the resulting actions.
 func (u *updater) step(ctx context.Context, event activation.Event) {
-	for _, action := range u.machine.Step(time.Now(), event) {
+	now := boottime.Now()
+	for _, action := range u.machine.Step(now.Time(), event) {
 		switch a := action.(type) {
 		case activation.VerifyStaging:
 			go u.verify(ctx, a)
@@ -349,8 +350,9 @@
 			// have superseded this one.
 			u.step(ctx, activation.HolderConfirmed{})
 		case activation.Order:
+			a.Order.NotAfter = now.Add(a.ValidFor)
 			u.log.Info("Sending a load order to the engine.", "version", a.Order.Version, "number", a.Order.Fence, "boot", u.boot, "formerVersion", u.loaded,
-				"verifiedMs", boottime.Now().Sub(boottime.Instant(u.verifiedAt.Load())).Milliseconds(), "engineOrders", u.orders)
+				"verifiedMs", (maxVerifiedAge - a.ValidFor).Milliseconds(), "engineOrders", u.orders)
 			go u.sendOrder(ctx, a)
 		case activation.Activated:
 			u.log.Info("The engine serves the version.", "version", a.Target.Version, "boot", a.Target.Boot)
@@ -371,13 +373,12 @@
 	staged, err := u.staging.List(callCtx, action.Manifest.Version)
 	complete := err == nil && len(staged) == len(action.Manifest.Chunks)
 	if complete {
-		u.verifiedAt.Store(int64(began))
 		u.log.Info("The staged weights are complete.", "version", action.Manifest.Version, "boot", action.Boot, "chunks", len(staged), "tookMs", boottime.Now().Sub(began).Milliseconds())
 	} else {
 		u.log.Warn("The staged weights are incomplete; staging them again.", "version", action.Manifest.Version, "held", len(staged), "chunks", len(action.Manifest.Chunks), "err", err)
 	}
 	target := activation.Target{Version: action.Manifest.Version, Digest: action.Manifest.Whole, Boot: action.Boot}
-	u.queue(ctx, activation.Verified{Target: target, OK: complete})
+	u.queue(ctx, activation.Verified{Target: target, OK: complete, ReadAt: began.Time()})
 }
 
 // sendOrder sends a load order and reports its result.
@@ -388,7 +389,7 @@
 	ended := activation.SendOrder(callCtx, u.loader, action)
 	if ended.Result != activation.OrderDone {
 		u.log.Warn("The load order failed.", "version", action.Order.Version, "number", action.Order.Fence, "result", ended.Result,
-			"ms", boottime.Now().Sub(sent).Milliseconds(), "verifiedMs", boottime.Now().Sub(boottime.Instant(u.verifiedAt.Load())).Milliseconds(), "err", ended.Err)
+			"ms", boottime.Now().Sub(sent).Milliseconds(), "err", ended.Err)
 	}
 	u.queue(ctx, ended)
 }
--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -30,5 +30,9 @@
 // Add returns the instant i+wait.
 func (i Instant) Add(wait time.Duration) Instant { return i + Instant(wait) }
 
+// Time returns the instant as a time.Time for code that only compares times. It has no
+// relation to the time of day.
+func (i Instant) Time() time.Time { return time.Unix(0, int64(i)) }
+
 // Before reports whether i is before other.
 func (i Instant) Before(other Instant) bool { return i < other }
