Writes to the staging area end before the staged chunks are verified

Callers saw (WHOLE): a token made with weights of which a piece was of another version. Cause: a chunk's write was abandoned when another version became the target. The engine may carry such a write out later, over a chunk that the verification has read. Every caller of the engine's client could write, also for a version that was no longer staged.

Now one gate in the agent is the only writer: it accepts chunks of the staged version alone, completes each write that it has begun, and a verification begins when no write is open and one whose answer was lost has had a second to settle.

Evidence: TestAnAbandonedWriteDoesNotReplaceAVerifiedChunk failed before (m/3 accepted with chunk 1 of m/2) and passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -128,17 +128,18 @@
 		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
 		declared: map[string]*rollout.Declarations{}, pauses: boottime.NewPauseDetector(boottime.Now),
 	}
+	gate := newStagingGate(staging, boottime.Now)
 	spreader, err := transfer.New(transfer.Config{
 		Policy: spreadPolicy,
 		Self:   selfMember(config),
-		Origin: origin, Staging: staging, Dial: a.dial, Logger: logger, RegionRate: transfer.RecommendedRegionRate,
+		Origin: origin, Staging: gate, Dial: a.dial, Logger: logger, RegionRate: transfer.RecommendedRegionRate,
 		UploadRate: config.UploadRate, FetchRate: config.FetchRate, PartBytes: partBytes, UploadSlots: uploadSlots,
 	})
 	if err != nil {
 		return nil, err
 	}
 	a.spreader = spreader
-	a.updater = newUpdater(config, spreader, staging, loader, origin, logger)
+	a.updater = newUpdater(config, spreader, gate, loader, origin, logger)
 	a.updater.onPlan, a.updater.supersededAt = a.setSwitchTime, a.supersededAt
 	return a, nil
 }
--- /dev/null
+++ b/agent/staging_gate.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+)
+
+const (
+	// writeTimeout bounds the write of one chunk to the engine on the same VM.
+	writeTimeout = 2 * time.Second
+	// writeSettle is how long the engine may take to carry out a write whose answer was
+	// lost: it has received the chunk before the connection was closed.
+	writeSettle = time.Second
+	// writePoll is how often a verification that waits for writes checks them.
+	writePoll = 5 * time.Millisecond
+)
+
+// errSuperseded means that another version is being staged.
+var errSuperseded = errors.New("agent: another version is being staged")
+
+// stagingGate is the only writer of the engine's staging area, which holds one unchecked
+// copy of each model. It accepts chunks of the staged version alone and completes each write
+// that it has begun.
+type stagingGate struct {
+	Staging
+	now boottime.Clock
+
+	mu      sync.Mutex
+	version core.VersionID
+	// writes is the number of writes in progress. A write whose result was lost may be
+	// carried out until unknownUntil.
+	writes       int
+	unknownUntil boottime.Instant
+}
+
+func newStagingGate(staging Staging, now boottime.Clock) *stagingGate {
+	return &stagingGate{Staging: staging, now: now}
+}
+
+// SetManifest implements Staging. Chunks of other versions are rejected from then on.
+func (g *stagingGate) SetManifest(manifest *core.Manifest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.version = manifest.Version
+	g.Staging.SetManifest(manifest)
+}
+
+// Put implements transfer.Staging. A write that has begun
+// is completed when ctx ends, since the engine might carry it out later.
+func (g *stagingGate) Put(ctx context.Context, version core.VersionID, index int, data []byte) error {
+	if err := g.beginWrite(ctx, version); err != nil {
+		return err
+	}
+	writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer cancel()
+	err := g.Staging.Put(writeCtx, version, index, data)
+	g.endWrite(err)
+	return err
+}
+
+func (g *stagingGate) beginWrite(ctx context.Context, version core.VersionID) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case version != g.version:
+		return errSuperseded
+	}
+	g.writes++
+	return nil
+}
+
+func (g *stagingGate) endWrite(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.writes--
+	if err != nil {
+		g.unknownUntil = g.now().Add(writeSettle)
+	}
+}
+
+// awaitWrites waits until no write can change the staging area.
+func (g *stagingGate) awaitWrites(ctx context.Context) error {
+	ticker := time.NewTicker(writePoll)
+	defer ticker.Stop()
+	for !g.quiet() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (g *stagingGate) quiet() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.writes == 0 && !g.now().Before(g.unknownUntil)
+}
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -59,7 +59,7 @@
 type updater struct {
 	config   Config
 	spreader *transfer.Spreader
-	staging  Staging
+	staging  *stagingGate
 	loader   Loader
 	origin   transfer.WeightSource
 	log      *log.Logger
@@ -102,7 +102,7 @@
 	switchedAt boottime.Instant
 }
 
-func newUpdater(config Config, spreader *transfer.Spreader, staging Staging, loader Loader, origin transfer.WeightSource, logger *log.Logger) *updater {
+func newUpdater(config Config, spreader *transfer.Spreader, staging *stagingGate, loader Loader, origin transfer.WeightSource, logger *log.Logger) *updater {
 	return &updater{
 		config: config, spreader: spreader, staging: staging, loader: loader, origin: origin, log: logger.WithPrefix("loads"),
 		events: ring.New[activation.Event](eventQueueSize), declarations: ring.New[*peerpb.FleetNews](updateQueueSize),
@@ -369,8 +369,12 @@
 func (u *updater) verify(ctx context.Context, action activation.VerifyStaging) {
 	callCtx, cancel := context.WithTimeout(ctx, stagingTimeout)
 	defer cancel()
+	var staged []int
+	err := u.staging.awaitWrites(callCtx)
 	began := boottime.Now()
-	staged, err := u.staging.List(callCtx, action.Manifest.Version)
+	if err == nil {
+		staged, err = u.staging.List(callCtx, action.Manifest.Version)
+	}
 	complete := err == nil && len(staged) == len(action.Manifest.Chunks)
 	if complete {
 		u.log.Info("The staged weights are complete.", "version", action.Manifest.Version, "boot", action.Boot, "chunks", len(staged), "tookMs", boottime.Now().Sub(began).Milliseconds())
