Staged chunks do not change until the engine has accepted the order for them

Cause: the newest version became the target of the spread, and its chunks were written, as soon as the order for an earlier one had been handed to a goroutine. The engine keeps one copy and takes what is staged when it accepts the order: later, if the order waited for a connection or its answer was lost. An order of unknown fate was treated like a rejected one, and was sent again after 100 ms.

Now activation.Machine.StagingInUse tells whether the staged chunks are being verified or an order for them may still be accepted; the agent closes its gate for writes and chooses no other version meanwhile. An order is known to be accepted by its answer or by the engine's status, to be rejected by its status code, and else to be settled after 1 s. What the engine has accepted and not yet loaded keeps nothing closed.

--- a/activation/activation.go
+++ b/activation/activation.go
@@ -54,6 +54,10 @@
 	// read, at which an order is sent. Engines that load what is staged without a check
 	// need it, since staged chunks may turn bad. Zero means no limit.
 	MaxVerifiedAge time.Duration
+	// OrderSettle is how long an order whose result was lost may still be accepted by the
+	// engine. Until then or until its fate is known, no other order is sent and
+	// StagingInUse reports true.
+	OrderSettle time.Duration
 	// PlainNames uses plain version names in orders. By default the name includes the
 	// boot, so that an order meant for another boot finds nothing staged.
 	PlainNames bool
@@ -94,6 +98,10 @@
 	// replaced is the target that was active before the order.
 	replaced Target
 	settings string
+	// accepted is set once the engine is known to have accepted the order, lostAt when
+	// its result was lost.
+	accepted bool
+	lostAt   time.Time
 }
 
 // Machine is the state machine of one endpoint process. It is not safe for concurrent
@@ -133,8 +141,10 @@
 	draining bool
 
 	// callSince is the start of the open call, which verifies the staging, allocates
-	// numbers or confirms the holder; zero if none is open.
+	// numbers or confirms the holder; zero if none is open. verifying is set while it
+	// verifies the staging.
 	callSince time.Time
+	verifying bool
 	retryAt   time.Time
 }
 
@@ -168,6 +178,13 @@
 	return m.active, m.engineNameOf(m.active), ok
 }
 
+// StagingInUse reports whether the staged chunks must not change: they are being verified,
+// or an order for them was sent and the engine may not have accepted it yet. An engine that
+// loads what is staged takes the chunks when it accepts the order.
+func (m *Machine) StagingInUse() bool {
+	return m.verifying || m.openOrder != nil && !m.openOrder.accepted || m.unresolved != nil && !m.unresolved.accepted
+}
+
 // Retired reports whether a later process has taken over the engine.
 func (m *Machine) Retired() bool { return m.retired }
 
--- a/activation/apply.go
+++ b/activation/apply.go
@@ -23,6 +23,7 @@
 		m.requireConfirmation()
 	}
 	if m.openOrder != nil {
+		m.openOrder.accepted = m.openOrder.accepted || m.shows(m.openOrder)
 		return
 	}
 	m.resolveOrder()
@@ -32,21 +33,37 @@
 	}
 }
 
+// shows reports whether the engine's status shows that it has accepted an order.
+func (m *Machine) shows(order *pendingOrder) bool {
+	return m.status.State == engine.StateLoading || order.versionBefore != order.name && m.status.Version == order.name
+}
+
 // resolveOrder accepts an order whose response was lost if the engine now serves its
 // version on the boot on which it was verified, and did not serve it before the order.
-// Otherwise the previously active target stays active if the engine still serves it.
+// Otherwise, once the engine can no longer accept it, the previously active target stays
+// active if the engine still serves it.
 func (m *Machine) resolveOrder() {
 	u := m.unresolved
-	if u == nil || m.status.State == engine.StateLoading {
+	if u == nil {
 		return
 	}
-	m.unresolved = nil
+	u.accepted = u.accepted || m.shows(u)
 	switch {
+	case m.status.State == engine.StateLoading:
+		return
 	case u.versionBefore != u.name && m.ready(u.target):
 		m.activate(u.target, u.settings)
+	case m.mayStillAccept(u):
+		return
 	case m.ready(u.replaced):
 		m.active = u.replaced
 	}
+	m.unresolved = nil
+}
+
+// mayStillAccept reports whether the engine may accept an order whose response was lost.
+func (m *Machine) mayStillAccept(u *pendingOrder) bool {
+	return !u.accepted && m.status.Boot == u.target.Boot && m.now.Sub(u.lostAt) < m.config.OrderSettle
 }
 
 func (m *Machine) activate(target Target, settings string) {
@@ -67,7 +84,7 @@
 }
 
 func (v Verified) apply(m *Machine) {
-	m.callSince = time.Time{}
+	m.endCall()
 	switch {
 	case v.Target != m.staged:
 	case v.OK:
@@ -86,19 +103,19 @@
 }
 
 func (g NumbersGranted) apply(m *Machine) {
-	m.callSince = time.Time{}
+	m.endCall()
 	m.numbers.next, m.numbers.last = g.First, g.Last
 	m.confirmed()
 }
 
 func (NumbersFailed) apply(m *Machine) {
-	m.callSince = time.Time{}
+	m.endCall()
 	m.numbers.failed = true
 	m.delayRetry()
 }
 
 func (h HolderConfirmed) apply(m *Machine) {
-	m.callSince = time.Time{}
+	m.endCall()
 	m.confirmed()
 	if h.Superseded {
 		m.retired = true
@@ -107,7 +124,7 @@
 }
 
 func (HolderUnknown) apply(m *Machine) {
-	m.callSince = time.Time{}
+	m.endCall()
 	m.unconfirmed()
 }
 
@@ -116,7 +133,8 @@
 		return
 	}
 	ended := m.openOrder
-	if e.Result == OrderLost {
+	if e.Result == OrderLost || e.Result == OrderUnconfirmed {
+		ended.accepted = ended.accepted || e.Result == OrderUnconfirmed
 		m.orderLost()
 		return
 	}
@@ -124,6 +142,9 @@
 	switch e.Result {
 	case OrderNotSent:
 		m.active = ended.replaced
+	case OrderRejected:
+		m.active = ended.replaced
+		m.delayRetry()
 	case OrderOldNumber:
 		m.active = ended.replaced
 		m.requireConfirmation()
--- a/activation/decide.go
+++ b/activation/decide.go
@@ -32,6 +32,8 @@
 		return true
 	case m.openOrder != nil, !m.callSince.IsZero(), m.now.Before(m.retryAt):
 		return true
+	case m.unresolved != nil && m.mayStillAccept(m.unresolved):
+		return true
 	case !m.statusFresh(m.now):
 		return true
 	default:
@@ -45,16 +47,19 @@
 		m.orderLost()
 	}
 	if !m.callSince.IsZero() && m.now.Sub(m.callSince) > m.config.CallTimeout {
-		m.callSince = time.Time{}
+		m.endCall()
 	}
 }
 
 // startCall emits an action whose result must arrive before anything else is started.
 func (m *Machine) startCall(a Action) {
 	m.callSince = m.now
+	_, m.verifying = a.(VerifyStaging)
 	m.emit(a)
 }
 
+func (m *Machine) endCall() { m.callSince, m.verifying = time.Time{}, false }
+
 // issueOrder emits a load order for a verified target once an order number is
 // available.
 func (m *Machine) issueOrder(target Target) {
@@ -107,6 +112,7 @@
 // orderLost keeps the order as unresolved, since it may have taken effect.
 func (m *Machine) orderLost() {
 	m.unresolved = m.openOrder
+	m.unresolved.lostAt = m.now
 	m.openOrder = nil
 	m.statusAt = time.Time{}
 	m.delayRetry()
--- a/activation/event.go
+++ b/activation/event.go
@@ -77,6 +77,11 @@
 	// OrderNotSent means that the order was not sent, since its verification had become
 	// too old.
 	OrderNotSent
+	// OrderRejected means that the engine rejected the order for another reason.
+	OrderRejected
+	// OrderUnconfirmed means that the engine accepted the order and the result of the load
+	// is unknown.
+	OrderUnconfirmed
 )
 
 // OrderEnded is the result of Order.
--- a/activation/send_order.go
+++ b/activation/send_order.go
@@ -24,6 +24,10 @@
 		ended.Result, ended.Boot = OrderDone, reply.Boot
 	case errors.Is(err, engine.ErrOrderExpired):
 		ended.Result = OrderNotSent
+	case errors.Is(err, engine.ErrOrderRejected):
+		ended.Result = OrderRejected
+	case errors.Is(err, engine.ErrLoadUnconfirmed):
+		ended.Result = OrderUnconfirmed
 	case errors.Is(err, engine.ErrStaleFence):
 		ended.Result = OrderOldNumber
 	case errors.Is(err, engine.ErrIncomplete):
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -11,7 +11,7 @@
 )
 
 // uncheckedConfig is for an engine that loads what is staged without a check.
-var uncheckedConfig = Config{PlainNames: true, MaxVerifiedAge: 2 * time.Second, RetryWait: 100 * time.Millisecond}
+var uncheckedConfig = Config{PlainNames: true, MaxVerifiedAge: 2 * time.Second, RetryWait: 100 * time.Millisecond, OrderSettle: time.Second}
 
 // uncheckedEngine drives a machine whose engine has just started.
 type uncheckedEngine struct {
@@ -101,3 +101,41 @@
 	actions := e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderNotSent})
 	g.Expect(append(actions, e.run(200*time.Millisecond)...)).To(onlyVerifies)
 }
+
+func TestTheStagingIsInUseFromItsVerificationUntilTheOrderIsAccepted(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+	e.step(Staged{Target: target})
+	g.Expect(e.machine.StagingInUse()).To(BeTrue())
+	e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.run(time.Second)
+	g.Expect(e.machine.StagingInUse()).To(BeTrue())
+	e.status.State = engine.StateLoading
+	e.run(100 * time.Millisecond)
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "the engine has taken the chunks")
+}
+
+// The answer to the order was lost before the engine accepted it.
+func TestALostOrderKeepsTheStagingUntilTheEngineCanNoLongerAcceptIt(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+	g.Expect(e.run(uncheckedConfig.OrderSettle - 100*time.Millisecond)).To(BeEmpty())
+	g.Expect(e.machine.StagingInUse()).To(BeTrue())
+	g.Expect(e.run(200 * time.Millisecond)).To(ContainElement(Or(anOrder, aVerification)))
+}
+
+func TestARejectedOrderReleasesTheStaging(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderRejected})
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+}
--- a/adapters/engine/client.go
+++ b/adapters/engine/client.go
@@ -43,6 +43,11 @@
 	ErrStaleFence = errors.New("engine: stale fencing token")
 	// ErrOrderExpired means that an order was not sent, since its NotAfter had passed.
 	ErrOrderExpired = errors.New("engine: order not sent: its verification is too old")
+	// ErrOrderRejected means that the engine did not accept an order.
+	ErrOrderRejected = errors.New("engine: load order rejected")
+	// ErrLoadUnconfirmed means that the engine accepted an order and the result of the
+	// load is unknown.
+	ErrLoadUnconfirmed = errors.New("engine: order accepted, load not confirmed")
 	// ErrIncomplete means that the staged weights of the version are incomplete.
 	ErrIncomplete = errors.New("engine: staged weights incomplete")
 	// ErrNotStaged means that a chunk is not in the staging area.
--- a/agent/staging_gate.go
+++ b/agent/staging_gate.go
@@ -24,14 +24,18 @@
 var errSuperseded = errors.New("agent: another version is being staged")
 
 // stagingGate is the only writer of the engine's staging area, which holds one unchecked
-// copy of each model. It accepts chunks of the staged version alone and completes each write
-// that it has begun.
+// copy of each model. It accepts chunks of the staged version alone, completes each write
+// that it has begun, and is closed while the chunks are verified and until the engine has
+// accepted the order to load them.
 type stagingGate struct {
 	Staging
 	now boottime.Clock
 
 	mu      sync.Mutex
 	version core.VersionID
+	closed  bool
+	// opened is closed when the gate opens.
+	opened chan struct{}
 	// writes is the number of writes in progress. A write whose result was lost may be
 	// carried out until unknownUntil.
 	writes       int
@@ -39,7 +43,7 @@
 }
 
 func newStagingGate(staging Staging, now boottime.Clock) *stagingGate {
-	return &stagingGate{Staging: staging, now: now}
+	return &stagingGate{Staging: staging, now: now, opened: make(chan struct{})}
 }
 
 // SetManifest implements Staging. Chunks of other versions are rejected from then on.
@@ -50,7 +54,7 @@
 	g.Staging.SetManifest(manifest)
 }
 
-// Put implements transfer.Staging. A write that has begun
+// Put implements transfer.Staging. It waits while the gate is closed. A write that has begun
 // is completed when ctx ends, since the engine might carry it out later.
 func (g *stagingGate) Put(ctx context.Context, version core.VersionID, index int, data []byte) error {
 	if err := g.beginWrite(ctx, version); err != nil {
@@ -64,16 +68,27 @@
 }
 
 func (g *stagingGate) beginWrite(ctx context.Context, version core.VersionID) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case ctx.Err() != nil:
-		return ctx.Err()
-	case version != g.version:
-		return errSuperseded
+	for {
+		g.mu.Lock()
+		closed, opened := g.closed, g.opened
+		switch {
+		case ctx.Err() != nil:
+			g.mu.Unlock()
+			return ctx.Err()
+		case version != g.version:
+			g.mu.Unlock()
+			return errSuperseded
+		case !closed:
+			g.writes++
+			g.mu.Unlock()
+			return nil
+		}
+		g.mu.Unlock()
+		select {
+		case <-opened:
+		case <-ctx.Done():
+		}
 	}
-	g.writes++
-	return nil
 }
 
 func (g *stagingGate) endWrite(err error) {
@@ -85,6 +100,24 @@
 	}
 }
 
+// close makes writes wait from now on.
+func (g *stagingGate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// open permits writes.
+func (g *stagingGate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		g.closed = false
+		close(g.opened)
+		g.opened = make(chan struct{})
+	}
+}
+
 // awaitWrites waits until no write can change the staging area.
 func (g *stagingGate) awaitWrites(ctx context.Context) error {
 	ticker := time.NewTicker(writePoll)
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -37,6 +37,9 @@
 	// maxVerifiedAge is how old the read of the staged chunks may be when the load order is
 	// sent. Engines excuse chunks that turned bad up to 3 s before they accept an order.
 	maxVerifiedAge = 2 * time.Second
+	// orderSettle is how long the engine may take to accept an order whose answer was lost:
+	// it has received the order before the connection was closed.
+	orderSettle = time.Second
 	// retryWait is the delay before a failed load order or check is retried.
 	retryWait = 100 * time.Millisecond
 	// manifestWait is how long the agent waits for a gateway to send the manifest
@@ -108,7 +111,7 @@
 		events: ring.New[activation.Event](eventQueueSize), declarations: ring.New[*peerpb.FleetNews](updateQueueSize),
 		engineUpdates: ring.New[[]*peerpb.FleetMember](updateQueueSize),
 		relayUpdates:  ring.New[[]*peerpb.FleetMember](updateQueueSize),
-		machine:       activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + orderGrace, CallTimeout: stagingTimeout, RetryWait: retryWait, MaxVerifiedAge: maxVerifiedAge}),
+		machine:       activation.New(activation.Config{PlainNames: true, OrderTimeout: loadTimeout + orderGrace, CallTimeout: stagingTimeout, RetryWait: retryWait, MaxVerifiedAge: maxVerifiedAge, OrderSettle: orderSettle}),
 	}
 }
 
@@ -300,6 +303,9 @@
 	for _, v := range u.versions.Versions() {
 		u.fetchManifest(ctx, v)
 	}
+	if u.machine.StagingInUse() {
+		return // the chunks of another version would replace the staged ones
+	}
 	former := u.versions.Chosen()
 	chosen, changed := u.versions.Choose(rollout.Choice{Now: boottime.Now(), Limit: u.config.SwitchTime, Serving: u.loaded > 0, SwitchAt: u.earliestSwitch()})
 	if changed {
@@ -344,6 +350,7 @@
 	for _, action := range u.machine.Step(now.Time(), event) {
 		switch a := action.(type) {
 		case activation.VerifyStaging:
+			u.staging.close()
 			go u.verify(ctx, a)
 		case activation.ConfirmHolder:
 			// The engine accepts orders from its own VM only, so no other agent can
@@ -363,6 +370,9 @@
 			u.target = activation.Target{}
 		}
 	}
+	if !u.machine.StagingInUse() {
+		u.staging.open()
+	}
 }
 
 // verify checks just before a load that all chunks are staged.
