A version chosen again is staged and verified again

Callers saw (WHOLE): a token made with weights of which pieces were of another version. Cause: with versions 2 and 3 declared close together the choice can go 2, 3, 2. The state machine kept that 2 was staged and verified through the visit to 3, whose chunks replace those of 2 in an engine with one copy of each model, and sent the order at once.

Now a declaration of other weights clears both.

Evidence: TestAVersionChosenAgainIsStagedAndVerifiedAgain failed before (an order without another look) and passes.

--- a/activation/apply.go
+++ b/activation/apply.go
@@ -7,9 +7,14 @@
 )
 
 func (d Declared) apply(m *Machine) {
-	if m.declared == nil || d.Revision >= m.declared.Revision {
-		m.declared = &d
+	if m.declared != nil && d.Revision < m.declared.Revision {
+		return
+	}
+	if m.declared != nil && d.Manifest.Whole != m.declared.Manifest.Whole {
+		// The chunks of the new version may replace staged ones.
+		m.staged, m.verified = Target{}, Target{}
 	}
+	m.declared = &d
 }
 
 func (s StatusSeen) apply(m *Machine) {
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -139,3 +139,21 @@
 	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderRejected})
 	g.Expect(e.machine.StagingInUse()).To(BeFalse())
 }
+
+// Versions 2 and 3 are declared close together. Some chunks of 3 have replaced those of 2
+// when 2 is chosen again.
+func TestAVersionChosenAgainIsStagedAndVerifiedAgain(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	second, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+	e.status.State = engine.StateLoading // by an earlier order
+	e.step(StatusSeen{Status: e.status})
+	e.step(Verified{Target: second, OK: true, ReadAt: e.now})
+	e.declare("m/3")
+	_, actions := e.declare("m/2")
+	e.status.State = engine.StateEmpty
+	actions = append(actions, e.run(200*time.Millisecond)...)
+	g.Expect(actions).To(BeEmpty(), "version 2 has not been staged again")
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+}
