A manifest with fewer chunks than declared is not used

A manifest that lost its last digests on the way from the origin, or from a gateway that had read it so, made an engine load layers of which pieces were missing.

Agents and relays now compare the number of chunks with the declaration and read the manifest again.

Evidence: TestWeightsWithFewerChunksThanDeclaredAreNotLoaded and TestAnIncompleteManifestOfAGatewayIsNotUsed failed before (m/2 accepted without chunk 3) and pass.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -116,6 +116,11 @@
 }
 
 func startFor(t *testing.T, e engineClient) string {
+	t.Helper()
+	return startFrom(t, e, fakeOrigin{})
+}
+
+func startFrom(t *testing.T, e engineClient, origin transfer.WeightSource) string {
 	t.Helper()
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -129,7 +134,7 @@
 	a, err := agent.New(agent.Config{
 		EngineAddress: address, Zone: "z", Region: "r", Listen: address, PeerPort: peerPort, SwitchTime: 2 * time.Second,
 		StopTimeout: time.Second, MetricsListen: "127.0.0.1:0", Version: versionID,
-	}, e, e, e, fakeOrigin{}, peers.NewPool("", peers.Security{}), logging.Discard())
+	}, e, e, e, origin, peers.NewPool("", peers.Security{}), logging.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/zinniaseam/zinniaseam/agent"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
@@ -270,3 +272,46 @@
 	g.Eventually(e.serves, 15*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
+
+// incompleteOrigin serves manifests without their last chunk, a number of times.
+type incompleteOrigin struct {
+	fakeOrigin
+	remaining atomic.Int32
+}
+
+func (o *incompleteOrigin) Manifest(ctx context.Context, version core.VersionID) (*core.Manifest, error) {
+	manifest, err := o.fakeOrigin.Manifest(ctx, version)
+	if o.remaining.Add(-1) >= 0 {
+		manifest.Chunks = manifest.Chunks[:chunks-1]
+		manifest.SizeBytes -= chunkBytes
+	}
+	return manifest, err
+}
+
+func TestWeightsWithFewerChunksThanDeclaredAreNotLoaded(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	origin := &incompleteOrigin{}
+	origin.remaining.Store(2)
+	address := startFrom(t, e, origin)
+	follow(t, address, "gw", "r").declare(t, 2, address)
+	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
+
+func TestAnIncompleteManifestOfAGatewayIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	origin := &incompleteOrigin{}
+	origin.remaining.Store(1)
+	manifest, err := origin.Manifest(context.Background(), "m/2")
+	g.Expect(err).NotTo(HaveOccurred())
+	gw.declare(t, 2, address)
+	g.Expect(gw.stream.Send(&peerpb.GatewayNews{Manifest: &peerpb.DeclaredManifest{
+		Version: "m/2", Whole: manifest.Whole[:], Manifest: transfer.EncodeManifest(manifest),
+	}})).To(Succeed())
+	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -212,6 +212,10 @@
 	case engineReported:
 		u.applyReport(ctx, e.report)
 	case manifestReceived:
+		if err := transfer.CheckChunks(e.manifest, u.declared); err != nil {
+			u.log.Warn("Ignoring a manifest that a gateway sent.", "err", err)
+			return
+		}
 		for _, v := range u.versions.Versions() {
 			if v.ID == e.manifest.Version && v.Manifest == nil {
 				v.Manifest = e.manifest
@@ -266,8 +270,9 @@
 		return
 	}
 	v.Reading = true
+	declared := u.declared
 	go func() {
-		u.queue(ctx, manifestFetched{version: v, manifest: transfer.ReadManifest(ctx, u.origin, v.ID, u.log)})
+		u.queue(ctx, manifestFetched{version: v, manifest: transfer.ReadManifest(ctx, u.origin, v.ID, declared, u.log)})
 	}()
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -259,7 +259,7 @@
 		r.spreader.SetOriginRegion(core.RegionID(target.GetOriginRegion()))
 		versions.Declare(boottime.Now(), target.GetVersion(), r.config.Version(target.GetModel(), target.GetVersion()), boottime.Now())
 		for _, v := range versions.Versions() {
-			r.readManifest(ctx, v, manifests)
+			r.readManifest(ctx, v, target, manifests)
 		}
 		r.fetchChosen(ctx, &versions, members)
 	}
@@ -286,14 +286,14 @@
 	return &peerpb.DeclaredManifest{Version: string(r.manifest.Version), Whole: r.manifest.Whole[:], Manifest: transfer.EncodeManifest(r.manifest)}
 }
 
-func (r *relay) readManifest(ctx context.Context, v *rollout.TrackedVersion, manifests chan<- manifestRead) {
+func (r *relay) readManifest(ctx context.Context, v *rollout.TrackedVersion, target *peerpb.FleetNews, manifests chan<- manifestRead) {
 	if v.Manifest != nil || v.Reading {
 		return
 	}
 	v.Reading = true
 	go func() {
 		select {
-		case manifests <- manifestRead{tracked: v, manifest: transfer.ReadManifest(ctx, r.origin, v.ID, r.log)}:
+		case manifests <- manifestRead{tracked: v, manifest: transfer.ReadManifest(ctx, r.origin, v.ID, target, r.log)}:
 		case <-ctx.Done():
 		}
 	}()
--- a/transfer/source.go
+++ b/transfer/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,10 +26,24 @@
 // manifestRetry is the wait after a failed read of a manifest.
 const manifestRetry = 150 * time.Millisecond
 
-// ReadManifest reads a manifest. After a failure it logs the error, waits for
-// manifestRetry and returns nil, so that the caller can retry at once.
-func ReadManifest(ctx context.Context, source WeightSource, version core.VersionID, logger *log.Logger) *core.Manifest {
+// CheckChunks returns an error if a manifest does not have the declared number of chunks.
+// A manifest that lost some of them on the way would make incomplete weights look
+// complete. A declaration without a number accepts any.
+func CheckChunks(manifest *core.Manifest, declared *peerpb.FleetNews) error {
+	if want := int(declared.GetChunks()); want != 0 && len(manifest.Chunks) != want {
+		return fmt.Errorf("manifest %s: %d chunks, want %d as declared", manifest.Version, len(manifest.Chunks), want)
+	}
+	return nil
+}
+
+// ReadManifest reads and checks the manifest of a version with a declared number of
+// chunks. After a failure it logs the error, waits for manifestRetry and returns nil, so
+// that the caller can retry at once.
+func ReadManifest(ctx context.Context, source WeightSource, version core.VersionID, declared *peerpb.FleetNews, logger *log.Logger) *core.Manifest {
 	manifest, err := source.Manifest(ctx, version)
+	if err == nil {
+		err = CheckChunks(manifest, declared)
+	}
 	if err == nil {
 		return manifest
 	}
