--- a/core/ids.go
+++ b/core/ids.go
@@ -27,5 +27,8 @@
 // TeamID identifies a group of callers that share one capacity weight.
 type TeamID string
 
+// PromptPart identifies a part of a prompt that calls may have in common.
+type PromptPart string
+
 // RequestID identifies a caller's request across all of its attempts.
 type RequestID string
--- a/forward/call.go
+++ b/forward/call.go
@@ -32,6 +32,10 @@
 	// of its answer, which is often far off, and MaxOutputTokens the maximum.
 	Model                                       string
 	PromptTokens, OutputTokens, MaxOutputTokens int
+	// SharedParts are the parts of the prompt that other calls may have in common with this
+	// one, in order. The last part of a prompt belongs to the call or its session alone and
+	// is not among them.
+	SharedParts []core.PromptPart
 	// LastEvent is the ID of the last event that the caller has received.
 	LastEvent string
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -83,6 +83,9 @@
 			s.gateway.log.Warn("Event out of sequence; the attempt failed.", "request", s.admitted.call.ID, "event", event.ID, "last", s.lastEvent)
 			return s.streamFailed(forward.ErrTruncated)
 		}
+		if s.begunAt == 0 {
+			s.begunAt = s.gateway.now()
+		}
 		s.writeHead(answer)
 		if _, err := s.writer.Write(event.Bytes); err != nil {
 			return placement.OutcomeCanceled, s.afterWriteError()
@@ -121,7 +124,8 @@
 
 // streamFailed ends an attempt whose stream was interrupted or malformed.
 func (s *session) streamFailed(err error) (placement.Outcome, step) {
-	s.gateway.log.Warn("Stream interrupted; the attempt failed.", "request", s.admitted.call.ID, "events", s.events, "last", s.lastEvent, "err", err)
+	s.gateway.log.Warn("Stream interrupted; the attempt failed.", "request", s.admitted.call.ID, "endpoint", s.endpoint, "begunMs", s.begunMs(),
+		"parts", s.admitted.call.SharedParts, "events", s.events, "last", s.lastEvent, "err", err)
 	return placement.OutcomeFailed, stepRetry
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/catalogue"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
@@ -104,6 +105,10 @@
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
 	events    int64
+	// endpoint is where the current attempt was sent, at sentAt. begunAt is when the
+	// attempt's first event or complete answer arrived, 0 before.
+	endpoint        fleet.EndpointID
+	sentAt, begunAt boottime.Instant
 }
 
 // step is the next step after an attempt.
@@ -241,6 +246,7 @@
 		Start: func() (time.Duration, bool) { return s.remaining(), g.scheduler.mayStart(ticket) },
 	}
 	sent := g.now()
+	s.endpoint, s.sentAt, s.begunAt = endpoint.ID, sent, 0
 	answer, err := g.pool.Do(g.scheduler.attempt(s.ctx, ticket), g.dialect, attempt, s.admitted.route.Retryable())
 	if err != nil {
 		return s.attemptFailed(ticket, decision, err)
@@ -273,10 +279,19 @@
 		"status", answer.Status, "ending", outcome, "events", s.events, "patienceMs", s.admitted.call.Timeout.Milliseconds(), "returned", s.admitted.retried, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds(),
 		"weights", decision.Weights, "ranOn", answer.Classification.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision),
+		"begunMs", s.begunMs(), "parts", s.admitted.call.SharedParts,
 		"prompt", s.admitted.call.PromptTokens, "output", s.admitted.call.OutputTokens, "maxOutput", s.admitted.call.MaxOutputTokens)
 	return next
 }
 
+// begunMs returns how long the current attempt has been answering, -1 if it has not begun.
+func (s *session) begunMs() int64 {
+	if s.begunAt == 0 {
+		return -1
+	}
+	return s.gateway.now().Sub(s.begunAt).Milliseconds()
+}
+
 // supersededMs returns how long the endpoint's weights have been superseded for a log
 // line, -1 if that is unknown.
 func supersededMs(decision placement.Decision) int64 {
@@ -303,7 +318,8 @@
 		s.sends++
 	}
 	s.gateway.scheduler.ended(ticket, outcome)
-	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent,
+	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent, "outcome", outcome,
+		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", s.admitted.call.SharedParts,
 		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(),
 		"weights", decision.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision), "err", err)
 	if withdrawn && s.ctx.Err() == nil && s.rejectedSends < maxRejectedSends {
