An order that a newer one has overtaken is rejected by the engine

Cause: an order whose answer was lost is taken for settled after 1 s; one that the engine handles still later is accepted on the chunks staged by then.

Each order now carries the number of orders that the engine had accepted when it was decided; the engine rejects it if another one has been accepted since.

Evidence: TestALostOrderIsNotAcceptedAfterANewerOne; on an engine that does not compare, m/2 is accepted 3 s late with all four chunks of m/3. An order that arrives late while nothing newer was accepted is covered by the second of settling alone.

--- a/adapters/engine/protocol.go
+++ b/adapters/engine/protocol.go
@@ -116,6 +116,10 @@
 	// Role and Adapters are set only in orders that change them.
 	Role     string   `json:"role,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
+	// EngineOrders is the number of orders that the engine had accepted when this one was
+	// decided. An engine that compares it rejects an order that another one has overtaken.
+	// It is not part of the message of engines of this protocol, which compare Fence.
+	EngineOrders int64 `json:"-"`
 	// NotAfter is the latest time at which the order may be sent, 0 for no limit. It is
 	// not part of the message.
 	NotAfter boottime.Instant `json:"-"`
--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -45,6 +45,8 @@
 	orders   int
 	accepted []core.VersionID
 	broken   []string
+	// superseded counts orders that were not accepted since another one had been.
+	superseded int
 }
 
 func (e *singleCopyEngine) Report(context.Context) (agent.EngineReport, error) {
@@ -118,7 +120,7 @@
 	}
 	served := make(chan struct{})
 	if !refused {
-		time.AfterFunc(acceptAfter, func() { e.accept(order.Version, served) })
+		time.AfterFunc(acceptAfter, func() { e.accept(order, served) })
 	}
 	if err != nil {
 		return nil, err
@@ -131,10 +133,16 @@
 	}
 }
 
-// accept takes what is staged and serves it after a while.
-func (e *singleCopyEngine) accept(version core.VersionID, served chan<- struct{}) {
+// accept takes what is staged and serves it after a while. It does nothing if the engine
+// has accepted another order since its sender saw the number of orders.
+func (e *singleCopyEngine) accept(order *engine.LoadOrder, served chan<- struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	version := order.Version
+	if order.EngineOrders != int64(len(e.accepted)) {
+		e.superseded++
+		return
+	}
 	e.accepted = append(e.accepted, version)
 	for index := range chunks {
 		excused := !e.spoiltAt[index].IsZero() && time.Since(e.spoiltAt[index]) <= excusedRot
@@ -315,3 +323,25 @@
 	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
+
+// The engine begins to handle an order whose answer was lost only when it has accepted
+// an order for a newer version.
+func TestALostOrderIsNotAcceptedAfterANewerOne(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.onOrder = func(number int) (time.Duration, bool, error) {
+		if number == 1 {
+			return 3 * time.Second, false, errOrder
+		}
+		return 0, false, nil
+	}
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	gw.declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	gw.declare(t, 3, address)
+	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
+	g.Eventually(func() int { e.mu.Lock(); defer e.mu.Unlock(); return e.superseded + len(e.broken) }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+	g.Expect(e.serves()).To(BeEquivalentTo(3))
+}
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -362,7 +362,7 @@
 			// have superseded this one.
 			u.step(ctx, activation.HolderConfirmed{})
 		case activation.Order:
-			a.Order.NotAfter = now.Add(a.ValidFor)
+			a.Order.NotAfter, a.Order.EngineOrders = now.Add(a.ValidFor), u.orders
 			u.log.Info("Sending a load order to the engine.", "version", a.Order.Version, "number", a.Order.Fence, "boot", u.boot, "formerVersion", u.loaded,
 				"verifiedMs", (maxVerifiedAge - a.ValidFor).Milliseconds(), "engineOrders", u.orders)
 			go u.sendOrder(ctx, a)
