A verification that took too long gives way to a newer version

Callers would see engines of a slow VM that keep an old version, or none, although a newer one was declared. Cause: the result of a verification that took over 2 s was followed by the next verification in the same step, so that StagingInUse never became false and the agent chose no other version for as long as the reads stayed slow.

Now the next verification waits for the usual delay of retries; the agent opens its gate and chooses a version in between. An engine whose chunks always take over 2 s to read still gets no order; that is not changed here.

Evidence: TestAVerificationThatTakesTooLongReleasesTheStagingBeforeTheNext failed before (a VerifyStaging in the step of the result) and passes.

--- a/activation/apply.go
+++ b/activation/apply.go
@@ -94,6 +94,9 @@
 	case v.Target != m.staged:
 	case v.OK:
 		m.verified, m.verifiedAt = v.Target, v.ReadAt
+		if m.verificationAge() > m.config.MaxVerifiedAge {
+			m.delayRetry() // meanwhile another version may be declared
+		}
 	default:
 		m.discardStaging(v.Target)
 	}
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -157,3 +157,16 @@
 	g.Expect(actions).To(BeEmpty(), "version 2 has not been staged again")
 	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
 }
+
+// A slow VM takes longer to read all chunks than a verification is valid.
+func TestAVerificationThatTakesTooLongReleasesTheStagingBeforeTheNext(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: target})).To(onlyVerifies)
+	readAt := e.now
+	g.Expect(e.run(uncheckedConfig.MaxVerifiedAge + 500*time.Millisecond)).To(BeEmpty())
+	g.Expect(e.step(Verified{Target: target, OK: true, ReadAt: readAt})).To(BeEmpty())
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "a newer version may be chosen")
+	g.Expect(e.run(200 * time.Millisecond)).To(onlyVerifies)
+}
