The result of a verification that timed out is not used

Callers would see a token made with weights of which a piece was of another version. Cause: a result was tied to its target alone. A verification that had timed out, as in a suspension of the VM, no longer keeps the staging; its result counted for a later verification of the same version, also if another version was staged in between, and ended that one, which opened the gate.

Now a result counts only for the open verification: its first read is not older than the call. Processes without Config.MaxVerifiedAge report no time and are as before; their engines check the weights themselves.

Evidence: TestTheResultOfAVerificationThatTimedOutIsNotUsed failed before (an order on the earlier result) and passes.

--- a/activation/apply.go
+++ b/activation/apply.go
@@ -89,6 +89,9 @@
 }
 
 func (v Verified) apply(m *Machine) {
+	if m.config.MaxVerifiedAge > 0 && (!m.verifying || v.ReadAt.Before(m.callSince)) {
+		return // the call has timed out, and the staging was not in use since
+	}
 	m.endCall()
 	switch {
 	case v.Target != m.staged:
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -170,3 +170,24 @@
 	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "a newer version may be chosen")
 	g.Expect(e.run(200 * time.Millisecond)).To(onlyVerifies)
 }
+
+// The VM was suspended in a verification of version 2. Version 3 is chosen and 2 again
+// before the result arrives.
+func TestTheResultOfAVerificationThatTimedOutIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	second, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+	e.now = e.now.Add(defaultCallTimeout - 500*time.Millisecond)
+	readAt := e.now
+	e.now = e.now.Add(time.Second)
+	e.step(Tick{})
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "the verification timed out")
+	e.declare("m/3")
+	e.declare("m/2")
+	e.step(StatusSeen{Status: e.status})
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+	g.Expect(e.step(Verified{Target: second, OK: true, ReadAt: readAt})).To(BeEmpty(), "chunks of version 3 may have replaced those read")
+	g.Expect(e.machine.StagingInUse()).To(BeTrue(), "the later verification is open")
+	g.Expect(e.step(Verified{Target: second, OK: true, ReadAt: e.now})).To(ContainElement(anOrder))
+}
