--- a/activation/apply.go
+++ b/activation/apply.go
@@ -67,8 +67,9 @@
 }
 
 // mayStillAccept reports whether the engine may accept an order whose response was lost.
+// The order may have reached the engine after a restart.
 func (m *Machine) mayStillAccept(u *pendingOrder) bool {
-	return !u.accepted && m.status.Boot == u.target.Boot && m.now.Sub(u.lostAt) < m.config.OrderSettle
+	return !u.accepted && m.now.Sub(u.lostAt) < m.config.OrderSettle
 }
 
 func (m *Machine) activate(target Target, settings string) {
@@ -89,11 +90,17 @@
 }
 
 func (v Verified) apply(m *Machine) {
+	if m.config.MaxVerifiedAge > 0 && (!m.verifying || v.ReadAt.Before(m.callSince)) {
+		return // the call has timed out, and the staging was not in use since
+	}
 	m.endCall()
 	switch {
 	case v.Target != m.staged:
 	case v.OK:
 		m.verified, m.verifiedAt = v.Target, v.ReadAt
+		if m.verificationAge() > m.config.MaxVerifiedAge {
+			m.delayRetry() // meanwhile another version may be declared
+		}
 	default:
 		m.discardStaging(v.Target)
 	}
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -140,6 +140,16 @@
 	g.Expect(e.machine.StagingInUse()).To(BeFalse())
 }
 
+func TestAnOrderThatWasAcceptedReleasesTheStagingAlthoughItsResultIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderUnconfirmed})
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+}
+
 // Versions 2 and 3 are declared close together. Some chunks of 3 have replaced those of 2
 // when 2 is chosen again.
 func TestAVersionChosenAgainIsStagedAndVerifiedAgain(t *testing.T) {
@@ -157,3 +167,70 @@
 	g.Expect(actions).To(BeEmpty(), "version 2 has not been staged again")
 	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
 }
+
+// A slow VM takes longer to read all chunks than a verification is valid.
+func TestAVerificationThatTakesTooLongReleasesTheStagingBeforeTheNext(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: target})).To(onlyVerifies)
+	readAt := e.now
+	g.Expect(e.run(uncheckedConfig.MaxVerifiedAge + 500*time.Millisecond)).To(BeEmpty())
+	g.Expect(e.step(Verified{Target: target, OK: true, ReadAt: readAt})).To(BeEmpty())
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "a newer version may be chosen")
+	g.Expect(e.run(200 * time.Millisecond)).To(onlyVerifies)
+}
+
+// The VM was suspended in a verification of version 2. Version 3 is chosen and 2 again
+// before the result arrives.
+func TestTheResultOfAVerificationThatTimedOutIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	second, _ := e.declare("m/2")
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+	e.now = e.now.Add(defaultCallTimeout - 500*time.Millisecond)
+	readAt := e.now
+	e.now = e.now.Add(time.Second)
+	e.step(Tick{})
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "the verification timed out")
+	e.declare("m/3")
+	e.declare("m/2")
+	e.step(StatusSeen{Status: e.status})
+	g.Expect(e.step(Staged{Target: second})).To(onlyVerifies)
+	g.Expect(e.step(Verified{Target: second, OK: true, ReadAt: readAt})).To(BeEmpty(), "chunks of version 3 may have replaced those read")
+	g.Expect(e.machine.StagingInUse()).To(BeTrue(), "the later verification is open")
+	g.Expect(e.step(Verified{Target: second, OK: true, ReadAt: e.now})).To(ContainElement(anOrder))
+}
+
+// The engine restarted after the verification, and its new process has received the order.
+func TestALostOrderThatReachedARestartedEngineKeepsTheStaging(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.status.Boot++
+	e.run(100 * time.Millisecond)
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+	e.run(uncheckedConfig.OrderSettle - 100*time.Millisecond)
+	g.Expect(e.machine.StagingInUse()).To(BeTrue())
+	e.run(200 * time.Millisecond)
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+}
+
+// The VM, and with it the engine, is suspended after the answer to an order was lost.
+func TestASuspensionIsNoTimeInWhichTheEngineAcceptsALostOrder(t *testing.T) {
+	for _, suspension := range []time.Duration{1200 * time.Millisecond, suspensionTime} {
+		g := NewWithT(t)
+		e := newUncheckedEngine()
+		target, _ := e.declare("m/2")
+		e.step(Staged{Target: target})
+		sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+		e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+		e.run(200 * time.Millisecond)
+		e.now = e.now.Add(suspension)
+		g.Expect(e.run(uncheckedConfig.OrderSettle/2)).To(BeEmpty(), "suspended for %s", suspension)
+		g.Expect(e.machine.StagingInUse()).To(BeTrue(), "suspended for %s", suspension)
+		g.Expect(e.run(uncheckedConfig.OrderSettle)).To(ContainElement(aVerification), "suspended for %s", suspension)
+	}
+}
