A status that was requested before the last order ended is not used

Cause: a status that was read before a load and arrives after it made the state machine order the version again; the next status, which showed the version loaded by the earlier order, counted as the acceptance of the second one and released the staging while it was on its way. An engine that crashes before it receives that order takes what is staged by then.

Now a status says when it was requested; one from before the end of the last order is ignored, and one from before an order shows nothing of it.

--- a/activation/activation.go
+++ b/activation/activation.go
@@ -114,6 +114,8 @@
 	declared *Declared
 	status   engine.Status
 	statusAt time.Time
+	// endedAt is when the result of the last order was known or lost.
+	endedAt time.Time
 
 	staged   Target
 	verified Target
--- a/activation/apply.go
+++ b/activation/apply.go
@@ -18,6 +18,9 @@
 }
 
 func (s StatusSeen) apply(m *Machine) {
+	if !s.RequestedAt.IsZero() && s.RequestedAt.Before(m.endedAt) {
+		return
+	}
 	previous := m.status
 	m.status, m.statusAt = s.Status, m.now
 	if previous.Boot != 0 && previous.Boot != s.Status.Boot {
@@ -28,7 +31,8 @@
 		m.requireConfirmation()
 	}
 	if m.openOrder != nil {
-		m.openOrder.accepted = m.openOrder.accepted || m.shows(m.openOrder)
+		sentBefore := s.RequestedAt.IsZero() || !s.RequestedAt.Before(m.openOrder.sentAt)
+		m.openOrder.accepted = m.openOrder.accepted || sentBefore && m.shows(m.openOrder)
 		return
 	}
 	m.resolveOrder()
@@ -145,6 +149,7 @@
 		return
 	}
 	ended := m.openOrder
+	m.endedAt = m.now
 	if e.Result == OrderLost || e.Result == OrderUnconfirmed {
 		ended.accepted = ended.accepted || e.Result == OrderUnconfirmed
 		m.orderLost()
--- a/activation/decide.go
+++ b/activation/decide.go
@@ -112,7 +112,7 @@
 // orderLost keeps the order as unresolved, since it may have taken effect.
 func (m *Machine) orderLost() {
 	m.unresolved = m.openOrder
-	m.unresolved.lostAt = m.now
+	m.unresolved.lostAt, m.endedAt = m.now, m.now
 	m.openOrder = nil
 	m.statusAt = time.Time{}
 	m.delayRetry()
--- a/activation/event.go
+++ b/activation/event.go
@@ -29,7 +29,12 @@
 func (d *Declared) settings() string { return d.Role + "\x00" + strings.Join(d.Adapters, "\x00") }
 
 // StatusSeen is a successful status poll of the engine.
-type StatusSeen struct{ Status engine.Status }
+type StatusSeen struct {
+	Status engine.Status
+	// RequestedAt is when the status was requested, zero if unknown. A status that was
+	// requested before the result of the last order is ignored: it may not show its effect.
+	RequestedAt time.Time
+}
 
 // StatusFailed is a failed status poll of the engine.
 type StatusFailed struct{}
--- a/activation/staging_acceptance_test.go
+++ b/activation/staging_acceptance_test.go
@@ -19,9 +19,10 @@
 	e.step(Staged{Target: target})
 	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
 	g.Expect(sent).To(ConsistOf(anOrder))
+	sentAt := e.now
 	e.now = e.now.Add(500 * time.Millisecond)
 	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderDone, Boot: 7})
-	again := e.step(StatusSeen{Status: e.status})
+	again := e.step(StatusSeen{Status: e.status, RequestedAt: sentAt})
 	e.status.State, e.status.Version = engine.StateReady, "m/2"
 	e.run(100 * time.Millisecond)
 	g.Expect(e.machine.StagingInUse()).To(Equal(len(again) > 0), "an order that is open may not have been accepted")
--- a/activation/staging_simulation_test.go
+++ b/activation/staging_simulation_test.go
@@ -693,6 +693,7 @@
 // poll reads the engine's status; the answer may come late.
 func (s *stagingSimulation) poll() {
 	s.later(s.ms(1, 4), func() {
+		requestedAt := s.clock.Now()
 		seen, failed := s.engine.status(), s.engine.down || s.faultOccurs(failedPolls, 8)
 		s.later(s.usually(slowAnswers, 10, 900*time.Millisecond), func() {
 			s.post(func() {
@@ -704,7 +705,7 @@
 				if seen.Version != "" {
 					s.agent.loaded = stagingNumber(seen.Version)
 				}
-				s.step(StatusSeen{Status: seen})
+				s.step(StatusSeen{Status: seen, RequestedAt: requestedAt})
 			})
 			s.later(stagingTick, s.poll)
 		})
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -175,6 +175,7 @@
 	defer ticker.Stop()
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		requestedAt := boottime.Now()
 		report, err := a.engine.Report(callCtx)
 		cancel()
 		if err != nil {
@@ -182,7 +183,7 @@
 		} else {
 			a.pollSucceeded(report)
 		}
-		a.updater.queueReport(ctx, report, err)
+		a.updater.queueReport(ctx, report, requestedAt, err)
 		a.divideSlots()
 		select {
 		case <-ctx.Done():
--- a/agent/updater.go
+++ b/agent/updater.go
@@ -144,19 +144,20 @@
 func (u *updater) offerRelays(relays []*peerpb.FleetMember) { u.relayUpdates.Offer(relays) }
 
 // queueReport queues the result of a status poll of the engine.
-func (u *updater) queueReport(ctx context.Context, report EngineReport, err error) {
+func (u *updater) queueReport(ctx context.Context, report EngineReport, requestedAt boottime.Instant, err error) {
 	if err != nil {
 		u.queue(ctx, activation.StatusFailed{})
 		return
 	}
-	u.queue(ctx, engineReported{report: report})
+	u.queue(ctx, engineReported{report: report, requestedAt: requestedAt})
 }
 
 // engineReported is a status report of the engine that has not been converted to an
 // event of the state machine yet.
 type engineReported struct {
 	activation.Tick
-	report EngineReport
+	report      EngineReport
+	requestedAt boottime.Instant
 }
 
 // manifestReceived is a manifest that a gateway sent.
@@ -210,7 +211,7 @@
 func (u *updater) handle(ctx context.Context, event activation.Event) {
 	switch e := event.(type) {
 	case engineReported:
-		u.applyReport(ctx, e.report)
+		u.applyReport(ctx, e.report, e.requestedAt)
 	case manifestReceived:
 		if err := transfer.CheckChunks(e.manifest, u.declared); err != nil {
 			u.log.Warn("Ignoring a manifest that a gateway sent.", "err", err)
@@ -277,7 +278,7 @@
 }
 
 // applyReport applies a status report of the engine.
-func (u *updater) applyReport(ctx context.Context, report EngineReport) {
+func (u *updater) applyReport(ctx context.Context, report EngineReport, requestedAt boottime.Instant) {
 	loaded := completeVersion(report, u.layers())
 	if report.Boot != u.boot || loaded != u.loaded {
 		u.log.Info("The engine reported another boot or version.", "boot", report.Boot, "version", loaded, "formerBoot", u.boot, "formerVersion", u.loaded)
@@ -295,7 +296,7 @@
 		status.State = engine.StateLoading
 	}
 	u.versions.RemoveUpTo(u.loaded)
-	u.step(ctx, activation.StatusSeen{Status: status})
+	u.step(ctx, activation.StatusSeen{Status: status, RequestedAt: requestedAt.Time()})
 }
 
 // selectVersion selects the version to stage and passes it to the state machine and
