A lost order that may have reached a restarted engine keeps the staging

Callers would see a token made with weights of which pieces were of another version. Cause: a lost order counted as settled at once if the status showed another boot than the one of the verification. Orders name no boot: one that was sent after the restart, before a status told of it, may still be accepted by the new process from the same staging area, while the agent writes the chunks of a newer version.

Now each lost order takes OrderSettle to settle, whatever the boot. An engine takes longer than that to restart after a crash, so nothing waits longer in that case.

Evidence: TestALostOrderThatReachedARestartedEngineKeepsTheStaging failed before and passes.

--- a/activation/apply.go
+++ b/activation/apply.go
@@ -67,8 +67,9 @@
 }
 
 // mayStillAccept reports whether the engine may accept an order whose response was lost.
+// The order may have reached the engine after a restart.
 func (m *Machine) mayStillAccept(u *pendingOrder) bool {
-	return !u.accepted && m.status.Boot == u.target.Boot && m.now.Sub(u.lostAt) < m.config.OrderSettle
+	return !u.accepted && m.now.Sub(u.lostAt) < m.config.OrderSettle
 }
 
 func (m *Machine) activate(target Target, settings string) {
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -191,3 +191,19 @@
 	g.Expect(e.machine.StagingInUse()).To(BeTrue(), "the later verification is open")
 	g.Expect(e.step(Verified{Target: second, OK: true, ReadAt: e.now})).To(ContainElement(anOrder))
 }
+
+// The engine restarted after the verification, and its new process has received the order.
+func TestALostOrderThatReachedARestartedEngineKeepsTheStaging(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.status.Boot++
+	e.run(100 * time.Millisecond)
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+	e.run(uncheckedConfig.OrderSettle - 100*time.Millisecond)
+	g.Expect(e.machine.StagingInUse()).To(BeTrue())
+	e.run(200 * time.Millisecond)
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+}
