A suspension is no time in which an engine accepts a lost order

Callers would see a token made with weights of which a piece was spoilt or of another version. Cause: the agent steps the machine by a clock that includes suspensions of the VM, on which the engine runs as well. After a suspension of a second the fate of a lost order counted as settled although the engine had had no time to accept it.

Now at most a quarter of OrderSettle counts for each gap between two steps. A lost order settles after four steps or more, so a slow VM delays it but cannot hold it for ever.

Evidence: TestASuspensionIsNoTimeInWhichTheEngineAcceptsALostOrder failed before, for 1.2 s and 4 s (an order or a verification at once), and passes.

--- a/activation/activation.go
+++ b/activation/activation.go
@@ -157,6 +157,7 @@
 // Step applies one event at the given time and returns the resulting actions, in
 // order.
 func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.extendSettle(now)
 	if !m.now.IsZero() && now.Sub(m.now) > m.config.MaxStepGap {
 		m.now = now
 		m.requireConfirmation()
--- a/activation/decide.go
+++ b/activation/decide.go
@@ -118,6 +118,20 @@
 	m.delayRetry()
 }
 
+// minSettleSteps is the minimum number of steps in Config.OrderSettle.
+const minSettleSteps = 4
+
+// extendSettle leaves a long gap between two steps out of the time in which a lost order
+// may still be accepted: the engine may have been suspended as well.
+func (m *Machine) extendSettle(now time.Time) {
+	if m.unresolved == nil {
+		return
+	}
+	if excess := now.Sub(m.now) - m.config.OrderSettle/minSettleSteps; excess > 0 {
+		m.unresolved.lostAt = m.unresolved.lostAt.Add(excess)
+	}
+}
+
 // requireConfirmation makes the next order wait for a confirmation from the platform.
 func (m *Machine) requireConfirmation() {
 	if m.unconfirmedSince.IsZero() {
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -207,3 +207,20 @@
 	e.run(200 * time.Millisecond)
 	g.Expect(e.machine.StagingInUse()).To(BeFalse())
 }
+
+// The VM, and with it the engine, is suspended after the answer to an order was lost.
+func TestASuspensionIsNoTimeInWhichTheEngineAcceptsALostOrder(t *testing.T) {
+	for _, suspension := range []time.Duration{1200 * time.Millisecond, suspensionTime} {
+		g := NewWithT(t)
+		e := newUncheckedEngine()
+		target, _ := e.declare("m/2")
+		e.step(Staged{Target: target})
+		sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+		e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderLost})
+		e.run(200 * time.Millisecond)
+		e.now = e.now.Add(suspension)
+		g.Expect(e.run(uncheckedConfig.OrderSettle/2)).To(BeEmpty(), "suspended for %s", suspension)
+		g.Expect(e.machine.StagingInUse()).To(BeTrue(), "suspended for %s", suspension)
+		g.Expect(e.run(uncheckedConfig.OrderSettle)).To(ContainElement(aVerification), "suspended for %s", suspension)
+	}
+}
