--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -140,6 +140,16 @@
 	g.Expect(e.machine.StagingInUse()).To(BeFalse())
 }
 
+func TestAnOrderThatWasAcceptedReleasesTheStagingAlthoughItsResultIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderUnconfirmed})
+	g.Expect(e.machine.StagingInUse()).To(BeFalse())
+}
+
 // Versions 2 and 3 are declared close together. Some chunks of 3 have replaced those of 2
 // when 2 is chosen again.
 func TestAVersionChosenAgainIsStagedAndVerifiedAgain(t *testing.T) {
--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/zinniaseam/zinniaseam/adapters/engine"
 	"github.com/zinniaseam/zinniaseam/agent"
+	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/peerpb"
@@ -36,6 +37,8 @@
 	// writeTime is the duration of a write of a version's chunk. A write that its caller
 	// abandons is carried out all the same.
 	writeTime func(version core.VersionID, index int) time.Duration
+	// listTime is how long List takes after its read.
+	listTime time.Duration
 
 	mu       sync.Mutex
 	staged   map[int][]byte
@@ -45,6 +48,8 @@
 	orders   int
 	accepted []core.VersionID
 	broken   []string
+	// notAfter is the latest permitted time of the last order.
+	notAfter boottime.Instant
 }
 
 func (e *singleCopyEngine) Report(context.Context) (agent.EngineReport, error) {
@@ -92,6 +97,12 @@
 }
 
 func (e *singleCopyEngine) List(_ context.Context, version core.VersionID) ([]int, error) {
+	indices := e.list(version)
+	time.Sleep(e.listTime)
+	return indices, nil
+}
+
+func (e *singleCopyEngine) list(version core.VersionID) []int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var indices []int
@@ -100,7 +111,7 @@
 			indices = append(indices, index)
 		}
 	}
-	return indices, nil
+	return indices
 }
 
 func (e *singleCopyEngine) Drop(context.Context, core.VersionID) error { return nil }
@@ -109,6 +120,7 @@
 	e.mu.Lock()
 	e.orders++
 	number := e.orders
+	e.notAfter = order.NotAfter
 	e.mu.Unlock()
 	var acceptAfter time.Duration
 	var refused bool
@@ -209,6 +221,19 @@
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
 
+func TestAnOrderExpiresWithItsVerification(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.listTime = 300 * time.Millisecond
+	address := startFor(t, e)
+	began := boottime.Now()
+	follow(t, address, "gw", "r").declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.Expect(e.notAfter).To(And(BeNumerically(">", began), BeNumerically("<=", boottime.Now().Add(excusedRot-time.Second-e.listTime))))
+}
+
 // A newer version is declared while the order waits for a connection.
 func TestNoChunkIsWrittenBeforeTheEngineHasAcceptedAnOrder(t *testing.T) {
 	g := NewWithT(t)
@@ -299,10 +324,18 @@
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
 
+// slowOrigin answers requests for manifests after those of gateways have arrived.
+type slowOrigin struct{ fakeOrigin }
+
+func (o slowOrigin) Manifest(ctx context.Context, version core.VersionID) (*core.Manifest, error) {
+	time.Sleep(300 * time.Millisecond)
+	return o.fakeOrigin.Manifest(ctx, version)
+}
+
 func TestAnIncompleteManifestOfAGatewayIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
 	e := newSingleCopyEngine()
-	address := startFor(t, e)
+	address := startFrom(t, e, slowOrigin{})
 	gw := follow(t, address, "gw", "r")
 	origin := &incompleteOrigin{}
 	origin.remaining.Store(1)
