A suspension is no time in which an engine carries out a write

Callers would see a token made with weights of which a piece was of another version. Cause: the second that a write of unknown result may take was measured by a clock that includes suspensions of the VM, on which the engine runs as well. After a suspension the chunks were verified at once, and the engine could carry the write out after the read.

Now such a write counts as in progress until a timer ends, which stands still in a suspension. The gate needs no clock.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -128,7 +128,7 @@
 		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
 		declared: map[string]*rollout.Declarations{}, pauses: boottime.NewPauseDetector(boottime.Now),
 	}
-	gate := newStagingGate(staging, boottime.Now)
+	gate := newStagingGate(staging)
 	spreader, err := transfer.New(transfer.Config{
 		Policy: spreadPolicy,
 		Self:   selfMember(config),
--- a/agent/staging_gate.go
+++ b/agent/staging_gate.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 )
 
@@ -29,21 +28,19 @@
 // accepted the order to load them.
 type stagingGate struct {
 	Staging
-	now boottime.Clock
 
 	mu      sync.Mutex
 	version core.VersionID
 	closed  bool
 	// opened is closed when the gate opens.
 	opened chan struct{}
-	// writes is the number of writes in progress. A write whose result was lost may be
-	// carried out until unknownUntil.
-	writes       int
-	unknownUntil boottime.Instant
+	// writes is the number of writes in progress. A write whose result was lost counts for
+	// another writeSettle.
+	writes int
 }
 
-func newStagingGate(staging Staging, now boottime.Clock) *stagingGate {
-	return &stagingGate{Staging: staging, now: now, opened: make(chan struct{})}
+func newStagingGate(staging Staging) *stagingGate {
+	return &stagingGate{Staging: staging, opened: make(chan struct{})}
 }
 
 // SetManifest implements Staging. Chunks of other versions are rejected from then on.
@@ -92,12 +89,14 @@
 }
 
 func (g *stagingGate) endWrite(err error) {
+	if err != nil {
+		// Timers stop while the VM, and with it the engine, is suspended.
+		time.AfterFunc(writeSettle, func() { g.endWrite(nil) })
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.writes--
-	if err != nil {
-		g.unknownUntil = g.now().Add(writeSettle)
-	}
 }
 
 // close makes writes wait from now on.
@@ -135,5 +134,5 @@
 func (g *stagingGate) quiet() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.writes == 0 && !g.now().Before(g.unknownUntil)
+	return g.writes == 0
 }
