Failing test: a write of a killed agent replaces a verified chunk

The gate that orders writes and verifications lives in the agent process. A process that takes over from a killed one counts no write as open, although the engine may still carry out one that it has received, over a chunk that the new process has verified. The engine of the test needs 0.7 s for the write and the agent is replaced at once; how long either takes on a VM was not measured.

--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -348,3 +348,59 @@
 	g.Eventually(e.serves, 10*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
+
+// mortalClient is the engine client of an agent process that is killed: it starts no call
+// after that, and the engine carries out those that it has received.
+type mortalClient struct {
+	*singleCopyEngine
+	killed atomic.Bool
+}
+
+var errKilled = errors.New("process killed")
+
+func (c *mortalClient) Report(ctx context.Context) (agent.EngineReport, error) {
+	if c.killed.Load() {
+		return agent.EngineReport{}, errKilled
+	}
+	return c.singleCopyEngine.Report(ctx)
+}
+
+func (c *mortalClient) Put(ctx context.Context, version core.VersionID, index int, data []byte) error {
+	if c.killed.Load() {
+		return errKilled
+	}
+	return c.singleCopyEngine.Put(ctx, version, index, data)
+}
+
+func (c *mortalClient) Load(ctx context.Context, order *engine.LoadOrder) (*engine.LoadReply, error) {
+	if c.killed.Load() {
+		return nil, errKilled
+	}
+	return c.singleCopyEngine.Load(ctx, order)
+}
+
+// The agent is killed while a chunk is being written, and the engine carries the write out
+// after it has received the chunk of a newer version from the next agent process.
+func TestAWriteOfAKilledAgentDoesNotReplaceAVerifiedChunk(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	writing := make(chan struct{})
+	var once sync.Once
+	e.writeTime = func(version core.VersionID, index int) time.Duration {
+		if version != "m/2" || index != 1 {
+			return 0
+		}
+		once.Do(func() { close(writing) })
+		return 700 * time.Millisecond
+	}
+	e.onOrder = func(int) (time.Duration, bool, error) { return 800 * time.Millisecond, false, nil }
+	former := &mortalClient{singleCopyEngine: e}
+	address := startFor(t, former)
+	follow(t, address, "gw", "r").declare(t, 2, address)
+	g.Eventually(writing, 5*time.Second).Should(BeClosed())
+	former.killed.Store(true)
+	address = startFor(t, e)
+	follow(t, address, "gw", "r").declare(t, 3, address)
+	g.Eventually(e.serves, 15*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
