Failing test: chunks are replaced while a killed agent's order may be accepted

What the machine knows of an order of unknown fate ends with the process. The next process opens its gate at once and writes the chunks of a newer version; the engine then accepts the former order and takes them. The engine of the test accepts 0.9 s after the order.

--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -404,3 +404,25 @@
 	g.Eventually(e.serves, 15*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(3))
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
+
+// The agent is killed when it has sent an order, and the engine accepts it after the next
+// agent process has been told of a newer version.
+func TestNoChunkIsWrittenWhileTheEngineMayAcceptAnOrderOfAKilledAgent(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.onOrder = func(number int) (time.Duration, bool, error) {
+		if number == 1 {
+			return 900 * time.Millisecond, false, nil
+		}
+		return 0, false, nil
+	}
+	former := &mortalClient{singleCopyEngine: e}
+	address := startFor(t, former)
+	follow(t, address, "gw", "r").declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	former.killed.Store(true)
+	address = startFor(t, e)
+	follow(t, address, "gw", "r").declare(t, 3, address)
+	g.Eventually(e.acceptedOrders, 15*time.Second, 10*time.Millisecond).Should(ContainElements(core.VersionID("m/2"), core.VersionID("m/3")))
+	g.Expect(e.brokenLoads()).To(BeEmpty())
+}
