An order that expired gives way to a newer version

Callers would see engines that keep an old version although a newer one was declared. Cause: after an order that expired before it was sent the next verification began in the same step, so that the agent chose no other version. If each verification takes just under 2 s, or no connection is free, that repeats.

Now the next verification waits for the usual delay of retries, as after a rejected order.

Evidence: TestAnOrderThatExpiredReleasesTheStagingBeforeTheNextVerification failed before (a VerifyStaging in the step of the result) and passes.

--- a/activation/apply.go
+++ b/activation/apply.go
@@ -152,9 +152,7 @@
 	}
 	m.openOrder = nil
 	switch e.Result {
-	case OrderNotSent:
-		m.active = ended.replaced
-	case OrderRejected:
+	case OrderNotSent, OrderRejected:
 		m.active = ended.replaced
 		m.delayRetry()
 	case OrderOldNumber:
--- a/activation/verification_test.go
+++ b/activation/verification_test.go
@@ -102,6 +102,18 @@
 	g.Expect(append(actions, e.run(200*time.Millisecond)...)).To(onlyVerifies)
 }
 
+func TestAnOrderThatExpiredReleasesTheStagingBeforeTheNextVerification(t *testing.T) {
+	g := NewWithT(t)
+	e := newUncheckedEngine()
+	target, _ := e.declare("m/2")
+	e.step(Staged{Target: target})
+	sent := e.step(Verified{Target: target, OK: true, ReadAt: e.now})
+	e.run(uncheckedConfig.MaxVerifiedAge + 100*time.Millisecond)
+	g.Expect(e.step(OrderEnded{Number: sent[0].(Order).Order.Fence, Result: OrderNotSent})).To(BeEmpty())
+	g.Expect(e.machine.StagingInUse()).To(BeFalse(), "a newer version may be chosen")
+	g.Expect(e.run(200 * time.Millisecond)).To(onlyVerifies)
+}
+
 func TestTheStagingIsInUseFromItsVerificationUntilTheOrderIsAccepted(t *testing.T) {
 	g := NewWithT(t)
 	e := newUncheckedEngine()
