--- /dev/null
+++ b/gateway/engines_test.go
@@ -0,0 +1,542 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/adapters/engine"
+	"github.com/zinniaseam/zinniaseam/agent"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/platform"
+	"github.com/zinniaseam/zinniaseam/transfer"
+)
+
+// Times and sizes of a stand-in engine. engineDeclaration declares the same.
+const (
+	engineSlots   = 8
+	engineQueue   = 2
+	prefillTime   = 40 * time.Millisecond
+	eventInterval = 40 * time.Millisecond
+	answerEvents  = 10
+	loadTime      = 200 * time.Millisecond
+	engineModel   = "m"
+	engineVersion = 1
+	engineChunks  = 4
+	chunkBytes    = 1 << 10
+	// harmfulPart crashes an engine crashDelay after the begin of an answer.
+	harmfulPart = "bad0bad0"
+	crashDelay  = 60 * time.Millisecond
+	// blockBytes is how much an endless answer writes at once.
+	blockBytes = 16 << 10
+)
+
+// shape is how a stand-in engine writes the answer to a call.
+type shape int32
+
+const (
+	shapeChunked shape = iota
+	// shapeUntilClose has neither a length nor chunks and ends with its connection.
+	shapeUntilClose
+	// shapeCutInEvent is like shapeUntilClose, but ends inside an event.
+	shapeCutInEvent
+	// shapeEndlessHead and shapeEndlessBody go on until the caller closes.
+	shapeEndlessHead
+	shapeEndlessBody
+)
+
+// standInEngine is a model engine with the VM's staging area. Each answer to a call with
+// harmfulPart crashes it. It starts again without weights.
+type standInEngine struct {
+	*transfer.MemoryStaging
+	t             *testing.T
+	name, address string
+	crashes       crashBehavior
+	store         *liveStore
+	record        *engineRecord
+	// shape is the shape of the answers that begin from now on.
+	shape atomic.Int32
+
+	mu sync.Mutex
+	// run is nil while the engine is down.
+	run     *engineRun
+	starts  int
+	stopped bool
+}
+
+// crashBehavior is how an engine crashes and returns.
+type crashBehavior struct {
+	downTime time.Duration
+	// keepsID is set if the engine has the same ID when it starts again, and resets if its
+	// connections are reset and not closed.
+	keepsID, resets bool
+}
+
+// newStandInEngine starts an engine on an address with its weights loaded and staged.
+func newStandInEngine(t *testing.T, name, address string, store *liveStore, record *engineRecord, crashes crashBehavior) *standInEngine {
+	t.Helper()
+	g := NewWithT(t)
+	e := &standInEngine{
+		t: t, MemoryStaging: transfer.NewMemoryStaging(1), name: name, address: address,
+		crashes: crashes, store: store, record: record,
+	}
+	version := platform.VersionID(engineModel, engineVersion)
+	for chunk := range engineChunks {
+		g.Expect(e.Put(context.Background(), version, chunk, chunkOf(version, chunk))).To(Succeed())
+	}
+	e.start(engineVersion)
+	t.Cleanup(e.stop)
+	return e
+}
+
+// engineRun is the time from a start of the engine to its end.
+type engineRun struct {
+	engine   *standInEngine
+	id       string
+	born     int64
+	server   *http.Server
+	listener net.Listener
+	slots    chan struct{}
+	waiting  atomic.Int32
+	ended    chan struct{}
+
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	version int64
+	loading bool
+}
+
+var errEngineDown = errors.New("connection refused")
+
+// start starts the engine with the weights of a version, 0 for none.
+func (e *standInEngine) start(version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		e.t.Errorf("engine %s does not start: %v", e.name, err)
+		return
+	}
+	e.store.remove("servers/" + e.id())
+	if !e.crashes.keepsID {
+		e.starts++
+	}
+	run := &engineRun{
+		engine: e, id: e.id(), born: time.Now().UnixMilli(), listener: listener, version: version,
+		slots: make(chan struct{}, engineSlots), ended: make(chan struct{}), conns: map[net.Conn]struct{}{},
+	}
+	run.server = &http.Server{Handler: http.HandlerFunc(run.serve), ConnState: run.trackConn}
+	go func() { _ = run.server.Serve(listener) }()
+	e.run = run
+	run.register()
+}
+
+// id is the ID under which the engine is registered. The caller must hold e.mu.
+func (e *standInEngine) id() string { return e.name + "-" + strconv.Itoa(e.starts) }
+
+// stop ends the engine for good.
+func (e *standInEngine) stop() {
+	e.mu.Lock()
+	run := e.run
+	e.run, e.stopped = nil, true
+	e.mu.Unlock()
+	if run != nil {
+		run.end()
+	}
+}
+
+// crash ends the present run, if there is one.
+func (e *standInEngine) crash() {
+	if run := e.present(); run != nil {
+		run.crash()
+	}
+}
+
+func (e *standInEngine) present() *engineRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.run
+}
+
+// crash ends the run, unless it has ended, and starts the engine again after its down time.
+func (r *engineRun) crash() {
+	e := r.engine
+	e.mu.Lock()
+	present := e.run == r
+	if present {
+		e.run = nil
+	}
+	e.mu.Unlock()
+	if !present {
+		return
+	}
+	e.record.crashed()
+	r.end()
+	time.AfterFunc(e.crashes.downTime, func() { e.start(0) })
+}
+
+// end closes the listener and cuts all connections.
+func (r *engineRun) end() {
+	r.listener.Close()
+	close(r.ended)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok && r.engine.crashes.resets {
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+func (r *engineRun) trackConn(conn net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		r.conns[conn] = struct{}{}
+	case http.StateClosed:
+		delete(r.conns, conn)
+	}
+}
+
+// register writes the engine's entry to the store.
+func (r *engineRun) register() {
+	entry := map[string]any{
+		"service": "s", "address": r.engine.address, "zone": "z", "capacity": engineSlots, "state": "ready", "born": r.born,
+	}
+	if version := r.serving(); version > 0 {
+		entry["models"] = []any{map[string]any{"name": engineModel, "version": version}}
+		entry["layers"] = map[string]any{"from": 0, "to": 1, "version": version}
+	}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	r.engine.store.put("servers/"+r.id, value)
+}
+
+func (r *engineRun) serving() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+func (r *engineRun) setWeights(version int64, loading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.loading = version, loading
+}
+
+// Report implements agent.Engine.
+func (e *standInEngine) Report(context.Context) (agent.EngineReport, error) {
+	run := e.present()
+	if run == nil {
+		return agent.EngineReport{}, errEngineDown
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	report := agent.EngineReport{Boot: run.born, Running: len(run.slots), Waiting: int(run.waiting.Load()), Loading: run.loading, Pace: 1}
+	if run.version > 0 {
+		report.Weights = []fleet.LoadedLayers{{Model: engineModel, Version: run.version, From: 0, To: 1}}
+	}
+	return report, nil
+}
+
+// SetManifest implements agent.Staging.
+func (e *standInEngine) SetManifest(*core.Manifest) {}
+
+// Load implements agent.Loader.
+func (e *standInEngine) Load(_ context.Context, order *engine.LoadOrder) (*engine.LoadReply, error) {
+	run := e.present()
+	if run == nil {
+		return nil, errEngineDown
+	}
+	run.setWeights(run.serving(), true)
+	select {
+	case <-run.ended:
+		return nil, fmt.Errorf("%w: %w", engine.ErrLoadUnconfirmed, errEngineDown)
+	case <-time.After(loadTime):
+	}
+	run.setWeights(engineVersion, false)
+	run.register()
+	return &engine.LoadReply{Version: order.Version, Boot: uint64(run.born)}, nil
+}
+
+// serve answers a call in a slot of the batch.
+func (r *engineRun) serve(w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("X-Request-Id")
+	harmful := holdsHarmfulPart(request.Header.Get("X-Prompt-Prefix"))
+	first := r.engine.record.arrived(id, harmful)
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request-Id", id)
+	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != r.id || r.serving() == 0 {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !r.takeSlot(request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-r.slots }()
+	r.wait(request, prefillTime)
+	r.engine.record.began(first, harmful)
+	if harmful {
+		time.AfterFunc(crashDelay, r.crash)
+	}
+	r.answer(w, request)
+}
+
+// holdsHarmfulPart reports whether a part other than the last is harmfulPart.
+func holdsHarmfulPart(prefix string) bool {
+	parts := strings.Split(prefix, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); id == harmfulPart {
+			return true
+		}
+	}
+	return false
+}
+
+// takeSlot waits for a slot. It returns false if too many calls wait already or the engine
+// is loading weights.
+func (r *engineRun) takeSlot(request *http.Request) bool {
+	r.mu.Lock()
+	loading := r.loading
+	r.mu.Unlock()
+	defer r.waiting.Add(-1)
+	if r.waiting.Add(1) > engineQueue || loading {
+		return false
+	}
+	select {
+	case r.slots <- struct{}{}:
+		return true
+	case <-request.Context().Done():
+	case <-r.ended:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// wait lets time pass. It aborts the call if the caller leaves or the engine ends.
+func (r *engineRun) wait(request *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+		return
+	case <-request.Context().Done():
+	case <-r.ended:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// answer writes the answer in the engine's shape.
+func (r *engineRun) answer(w http.ResponseWriter, request *http.Request) {
+	shape := shape(r.engine.shape.Load())
+	header := w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("X-Response-Seal", "seal")
+	header.Set("X-Weight-Versions", strconv.Itoa(engineVersion))
+	if shape == shapeChunked {
+		r.writeEvents(w, http.NewResponseController(w).Flush, request)
+		return
+	}
+	conn, buffer := hijack(w)
+	defer conn.Close()
+	fmt.Fprint(buffer, "HTTP/1.1 200 OK\r\n")
+	_ = header.Write(buffer)
+	switch shape {
+	case shapeEndlessHead:
+		r.writeEndlessly(buffer, "X-More: more\r\n")
+	case shapeEndlessBody:
+		r.writeEndlessly(buffer, "\r\nmore\n")
+	default:
+		fmt.Fprint(buffer, "\r\n")
+		r.writeEvents(buffer, buffer.Flush, request)
+	}
+	if shape == shapeCutInEvent {
+		fmt.Fprintf(buffer, "id: %d\nda", answerEvents+1)
+	}
+	_ = buffer.Flush()
+}
+
+// writeEvents writes the numbered events after the one that the caller has.
+func (r *engineRun) writeEvents(w io.Writer, flush func() error, request *http.Request) {
+	last, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	if err != nil {
+		last = 0
+	}
+	for number := last + 1; number <= answerEvents; number++ {
+		if number > last+1 {
+			r.wait(request, eventInterval)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", number); err != nil || flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// writeEndlessly repeats a line until the caller closes the connection.
+func (r *engineRun) writeEndlessly(buffer *bufio.ReadWriter, line string) {
+	block := strings.Repeat(line, blockBytes/len(line))
+	for {
+		if _, err := buffer.WriteString(block); err != nil || buffer.Flush() != nil {
+			return
+		}
+	}
+}
+
+// engineRecord records what happens at all engines of a test.
+type engineRecord struct {
+	mu   sync.Mutex
+	seen map[string]bool
+	// harmful are the arrivals of calls with harmfulPart. begins are the starts of answers to
+	// other calls at the first engine that each reached.
+	harmful, crashes, begins []time.Time
+}
+
+func newEngineRecord() *engineRecord { return &engineRecord{seen: map[string]bool{}} }
+
+// arrived records an arrival and reports whether the call has not reached any engine
+// before.
+func (c *engineRecord) arrived(id string, harmful bool) (first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first = !c.seen[id]
+	c.seen[id] = true
+	if harmful {
+		c.harmful = append(c.harmful, time.Now())
+	}
+	return first
+}
+
+func (c *engineRecord) began(first, harmful bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if first && !harmful {
+		c.begins = append(c.begins, time.Now())
+	}
+}
+
+func (c *engineRecord) crashed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, time.Now())
+}
+
+// happened is a copy of what an engineRecord holds.
+type happened struct{ harmful, crashes, begins []time.Time }
+
+func (c *engineRecord) happened() happened {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return happened{harmful: slices.Clone(c.harmful), crashes: slices.Clone(c.crashes), begins: slices.Clone(c.begins)}
+}
+
+// countBetween counts the times in a period.
+func countBetween(times []time.Time, from, to time.Time) int {
+	count := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// ask sends a call straight to the engine and returns the answer with at most 1 MiB of
+// its body as arrives.
+func (e *standInEngine) ask(g *WithT, id, prefix string) (response *http.Response, body string, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.address+"/a/x", strings.NewReader("body"))
+	g.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Prompt-Prefix", prefix)
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 1 << 20}
+	response, err = transport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	return response, string(read), err
+}
+
+func (e *standInEngine) running(g *WithT) int {
+	report, err := e.Report(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	return report.Running
+}
+
+func TestStandInEngineFramesItsAnswersAsSet(t *testing.T) {
+	g := NewWithT(t)
+	e := newStandInEngine(t, "e", address(1, freePorts(t)), newLiveStore(), newEngineRecord(), crashBehavior{})
+	whole := wholeAnswer()
+	for want, body := range map[shape]string{shapeChunked: whole, shapeUntilClose: whole, shapeCutInEvent: whole + "id: 11\nda"} {
+		e.shape.Store(int32(want))
+		response, read, err := e.ask(g, "1", "a:1,"+harmfulPart+":1") // the last part crashes no engine
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(Equal(body))
+		g.Expect(response.Header.Get("X-Request-Id")).To(Equal("1"))
+		g.Expect(response.ContentLength).To(BeEquivalentTo(-1))
+		g.Expect(len(response.TransferEncoding) > 0).To(Equal(want == shapeChunked), "in chunks")
+	}
+	e.shape.Store(int32(shapeEndlessBody))
+	_, read, err := e.ask(g, "1", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(HaveLen(1 << 20))
+	e.shape.Store(int32(shapeEndlessHead))
+	_, _, err = e.ask(g, "1", "")
+	g.Expect(err).To(MatchError(ContainSubstring("headers exceeded")))
+	g.Eventually(func() int { return e.running(g) }, time.Second, time.Millisecond).Should(BeZero(), "the caller has left")
+}
+
+func TestStandInEngineCrashesOnAHarmfulPart(t *testing.T) {
+	for _, resets := range []bool{false, true} {
+		g := NewWithT(t)
+		store, record := newLiveStore(), newEngineRecord()
+		e := newStandInEngine(t, "e", address(1, freePorts(t)), store, record, crashBehavior{downTime: 200 * time.Millisecond, resets: resets})
+		_, body, err := e.ask(g, "1", "a:1,"+harmfulPart+":1,b:1")
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(body).NotTo(BeEmpty())
+		_, _, err = e.ask(g, "2", "")
+		g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		_, err = e.Report(context.Background())
+		g.Expect(err).To(HaveOccurred())
+		g.Eventually(func() string { return registered(store) }, time.Second, time.Millisecond).Should(ContainSubstring("servers/e-2"))
+		report, err := e.Report(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Weights).To(BeEmpty())
+		g.Expect(record.happened().crashes).To(HaveLen(1))
+		g.Expect(record.happened().harmful).To(HaveLen(1))
+	}
+}
+
+// registered lists the keys of a store.
+func registered(store *liveStore) string {
+	snapshot, _ := store.Read(context.Background(), "")
+	var keys []string
+	for _, item := range snapshot.Items {
+		keys = append(keys, item.Key)
+	}
+	return strings.Join(keys, " ")
+}
