Test that one part of prompts does not crash engine after engine

The test sends 60 calls a second for 7 s to three gateways before eight stand-in engines, one in ten of them with the harmful part. All calls share the key and the first part, and the harmful ones also have a second part of the sound ones. From 3 s after the fifth crash at most three harmful calls may reach engines; of the sound calls sent in the last 3 s, 80% have to be answered at the first attempt, and they have to begin at half the rate of the calm second before.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -10,8 +10,14 @@
 const (
 	// warmUp is how long sound calls are sent until the slots are divided among the gateways.
 	warmUp = time.Second
+	// contactTime is how long gateways have to act on the crashes.
+	contactTime = 3 * time.Second
 	// judgedTime is the last part of a run, in which sound calls have to be answered.
 	judgedTime = 3 * time.Second
+	// crashesToAct is the number of crashes after which contactTime begins.
+	crashesToAct = 5
+	// maxHarmful is how many harmful calls may reach engines after contactTime.
+	maxHarmful = 3
 )
 
 // answeredShare returns the share of the sound calls sent in a period that were answered
@@ -58,3 +64,36 @@
 	g.Expect(seen.crashes).To(HaveLen(engineCount))
 	g.Expect(afterwards).To(BeNumerically(">=", 0.95))
 }
+
+func TestOnePartOfPromptsDoesNotCrashEngineAfterEngine(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t)
+	c := newCallers(t, f)
+	c.send(warmUp, false)
+	calm := time.Now()
+	c.send(time.Second, false)
+	start := time.Now()
+	c.send(7*time.Second, true)
+	end := time.Now()
+	judged := end.Add(-judgedTime)
+	share := answeredShare(g, c, judged, end)
+
+	seen := f.record.happened()
+	late, lateSent, fifth := 0, 0, time.Duration(0)
+	if len(seen.crashes) >= crashesToAct {
+		at := seen.crashes[crashesToAct-1].Add(contactTime)
+		fifth = seen.crashes[crashesToAct-1].Sub(start)
+		late = countBetween(seen.harmful, at, end)
+		lateSent, _ = c.count(true, at, end)
+		g.Expect(lateSent).To(BeNumerically(">", 2*maxHarmful), "harmful calls sent after the bound")
+	}
+	calmBegins := float64(countBetween(seen.begins, calm, start)) / start.Sub(calm).Seconds()
+	begins := float64(countBetween(seen.begins, judged, end)) / judgedTime.Seconds()
+	t.Logf("crashes %d, the fifth after %d ms; harmful calls that reached engines %d, %d of them later than %s after the fifth crash (%d calls sent then); "+
+		"answered in the last %s %.3f; first attempts begun %.1f/s, in calm %.1f/s",
+		len(seen.crashes), fifth.Milliseconds(), len(seen.harmful), late, contactTime, lateSent, judgedTime, share, begins, calmBegins)
+	g.Expect(seen.crashes).NotTo(BeEmpty())
+	g.Expect(late).To(BeNumerically("<=", maxHarmful), "harmful calls that reached engines")
+	g.Expect(share).To(BeNumerically(">=", 0.8), "sound calls answered")
+	g.Expect(begins).To(BeNumerically(">=", calmBegins/2), "sound calls begun at the first attempt")
+}
