--- /dev/null
+++ b/gateway/crashes_test.go
@@ -0,0 +1,99 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// warmUp is how long sound calls are sent until the slots are divided among the gateways.
+	warmUp = time.Second
+	// contactTime is how long gateways have to act on the crashes.
+	contactTime = 3 * time.Second
+	// judgedTime is the last part of a run, in which sound calls have to be answered.
+	judgedTime = 3 * time.Second
+	// crashesToAct is the number of crashes after which contactTime begins.
+	crashesToAct = 5
+	// maxHarmful is how many harmful calls may reach engines after contactTime.
+	maxHarmful = 3
+)
+
+// answeredShare returns the share of the sound calls sent in a period that were answered
+// completely.
+func answeredShare(g *WithT, c *callers, from, to time.Time) float64 {
+	sent, answered := c.count(false, from, to)
+	g.Expect(sent).To(BeNumerically(">", 0))
+	return float64(answered) / float64(sent)
+}
+
+func TestACalmFleetAnswersItsCallsWithoutACrash(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t)
+	c := newCallers(t, f)
+	c.send(warmUp, false)
+	from := time.Now()
+	c.send(judgedTime, false)
+	to := time.Now()
+	share := answeredShare(g, c, from, to)
+	seen := f.record.happened()
+	t.Logf("answered %.3f, first attempts begun %d, crashes %d", share, countBetween(seen.begins, from, to), len(seen.crashes))
+	g.Expect(share).To(BeNumerically(">", 0.99))
+	g.Expect(seen.crashes).To(BeEmpty())
+}
+
+// Crashes without a common cause say nothing about the parts that all calls share.
+func TestCrashesOfEnginesAloneBlockNoPart(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t)
+	c := newCallers(t, f)
+	c.send(warmUp, false)
+	const crashInterval = 350 * time.Millisecond
+	for i, e := range f.engines {
+		time.AfterFunc(time.Duration(i)*crashInterval, e.crash)
+	}
+	crashing := time.Now()
+	c.send(engineCount*crashInterval, false)
+	crashed := time.Now()
+	c.send(judgedTime, false)
+	to := time.Now()
+	during, afterwards := answeredShare(g, c, crashing, crashed), answeredShare(g, c, crashed, to)
+	seen := f.record.happened()
+	t.Logf("answered %.3f while engines crashed and %.3f afterwards, crashes %d", during, afterwards, len(seen.crashes))
+	g.Expect(seen.crashes).To(HaveLen(engineCount))
+	g.Expect(afterwards).To(BeNumerically(">=", 0.95))
+}
+
+func TestOnePartOfPromptsDoesNotCrashEngineAfterEngine(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t)
+	c := newCallers(t, f)
+	c.send(warmUp, false)
+	calm := time.Now()
+	c.send(time.Second, false)
+	start := time.Now()
+	c.send(7*time.Second, true)
+	end := time.Now()
+	judged := end.Add(-judgedTime)
+	share := answeredShare(g, c, judged, end)
+
+	seen := f.record.happened()
+	late, lateSent, fifth := 0, 0, time.Duration(0)
+	if len(seen.crashes) >= crashesToAct {
+		at := seen.crashes[crashesToAct-1].Add(contactTime)
+		fifth = seen.crashes[crashesToAct-1].Sub(start)
+		late = countBetween(seen.harmful, at, end)
+		lateSent, _ = c.count(true, at, end)
+		g.Expect(lateSent).To(BeNumerically(">", 2*maxHarmful), "harmful calls sent after the bound")
+	}
+	calmBegins := float64(countBetween(seen.begins, calm, start)) / start.Sub(calm).Seconds()
+	begins := float64(countBetween(seen.begins, judged, end)) / judgedTime.Seconds()
+	t.Logf("crashes %d, the fifth after %d ms; harmful calls that reached engines %d, %d of them later than %s after the fifth crash (%d calls sent then); "+
+		"answered in the last %s %.3f; first attempts begun %.1f/s, in calm %.1f/s",
+		len(seen.crashes), fifth.Milliseconds(), len(seen.harmful), late, contactTime, lateSent, judgedTime, share, begins, calmBegins)
+	g.Expect(seen.crashes).NotTo(BeEmpty())
+	g.Expect(late).To(BeNumerically("<=", maxHarmful), "harmful calls that reached engines")
+	g.Expect(share).To(BeNumerically(">=", 0.8), "sound calls answered")
+	g.Expect(begins).To(BeNumerically(">=", calmBegins/2), "sound calls begun at the first attempt")
+}
