An agent that has just started lets the calls of a former process settle

Cause: what is known of open writes and of an order of unknown fate ends with the process. An agent that takes over from a killed one wrote and verified at once, while the engine could still carry out a write or accept an order that it had received.

Now the gate of a new process permits neither for Config.StartSettle (1 s for zsagent, which starts about as long before its engine registers).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -66,6 +66,9 @@
 	// SwitchTime is the time after a declaration within which all engines must switch.
 	SwitchTime  time.Duration
 	StopTimeout time.Duration
+	// StartSettle is how long after the start of this process the engine may still carry
+	// out writes and orders of a former one on this VM, 0 if there was none.
+	StartSettle time.Duration
 	// MetricsListen is the listen address for metrics.
 	MetricsListen string
 	// Version returns the ID of a model's weights with a declared version number.
@@ -128,7 +131,7 @@
 		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
 		declared: map[string]*rollout.Declarations{}, pauses: boottime.NewPauseDetector(boottime.Now),
 	}
-	gate := newStagingGate(staging)
+	gate := newStagingGate(staging, config.StartSettle)
 	spreader, err := transfer.New(transfer.Config{
 		Policy: spreadPolicy,
 		Self:   selfMember(config),
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -121,6 +121,12 @@
 }
 
 func startFrom(t *testing.T, e engineClient, origin transfer.WeightSource) string {
+	t.Helper()
+	return startAfter(t, e, origin, 0)
+}
+
+// startAfter runs an agent that lets calls of a former agent process settle first.
+func startAfter(t *testing.T, e engineClient, origin transfer.WeightSource, settle time.Duration) string {
 	t.Helper()
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,7 +139,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	a, err := agent.New(agent.Config{
 		EngineAddress: address, Zone: "z", Region: "r", Listen: address, PeerPort: peerPort, SwitchTime: 2 * time.Second,
-		StopTimeout: time.Second, MetricsListen: "127.0.0.1:0", Version: versionID,
+		StopTimeout: time.Second, StartSettle: settle, MetricsListen: "127.0.0.1:0", Version: versionID,
 	}, e, e, e, origin, peers.NewPool("", peers.Security{}), logging.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/agent/staging_gate.go
+++ b/agent/staging_gate.go
@@ -32,15 +32,30 @@
 	mu      sync.Mutex
 	version core.VersionID
 	closed  bool
-	// opened is closed when the gate opens.
+	// opened is closed when the gate opens or former calls have settled.
 	opened chan struct{}
+	// settling is set while writes and orders of a former process may be carried out.
+	settling bool
 	// writes is the number of writes in progress. A write whose result was lost counts for
 	// another writeSettle.
 	writes int
 }
 
-func newStagingGate(staging Staging) *stagingGate {
-	return &stagingGate{Staging: staging, opened: make(chan struct{})}
+// newStagingGate returns a gate that permits neither writes nor verifications before
+// settle has passed.
+func newStagingGate(staging Staging, settle time.Duration) *stagingGate {
+	g := &stagingGate{Staging: staging, opened: make(chan struct{}), settling: settle > 0}
+	if g.settling {
+		time.AfterFunc(settle, g.settled)
+	}
+	return g
+}
+
+func (g *stagingGate) settled() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settling = false
+	g.wake()
 }
 
 // SetManifest implements Staging. Chunks of other versions are rejected from then on.
@@ -67,7 +82,7 @@
 func (g *stagingGate) beginWrite(ctx context.Context, version core.VersionID) error {
 	for {
 		g.mu.Lock()
-		closed, opened := g.closed, g.opened
+		closed, opened := g.closed || g.settling, g.opened
 		switch {
 		case ctx.Err() != nil:
 			g.mu.Unlock()
@@ -112,11 +127,16 @@
 	defer g.mu.Unlock()
 	if g.closed {
 		g.closed = false
-		close(g.opened)
-		g.opened = make(chan struct{})
+		g.wake()
 	}
 }
 
+// wake makes waiting writes check the gate again. The caller must hold g.mu.
+func (g *stagingGate) wake() {
+	close(g.opened)
+	g.opened = make(chan struct{})
+}
+
 // awaitWrites waits until no write can change the staging area.
 func (g *stagingGate) awaitWrites(ctx context.Context) error {
 	ticker := time.NewTicker(writePoll)
@@ -134,5 +154,5 @@
 func (g *stagingGate) quiet() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.writes == 0
+	return g.writes == 0 && !g.settling
 }
--- a/agent/staging_gate_test.go
+++ b/agent/staging_gate_test.go
@@ -31,7 +31,7 @@
 
 // newGate returns a gate for version m/2.
 func newGate(write func(ctx context.Context) error) *stagingGate {
-	gate := newStagingGate(&lossyStaging{MemoryStaging: transfer.NewMemoryStaging(1), write: write})
+	gate := newStagingGate(&lossyStaging{MemoryStaging: transfer.NewMemoryStaging(1), write: write}, 0)
 	gate.SetManifest(&core.Manifest{Version: "m/2"})
 	return gate
 }
--- a/cmd/zsagent/providers.go
+++ b/cmd/zsagent/providers.go
@@ -19,6 +19,9 @@
 	// fetchShare is the fraction of the VM's link that one chunk download from a relay
 	// may use: three concurrent downloads leave a tenth for calls.
 	fetchShare = 0.3
+	// startSettle is how long the engine may take to carry out what it received from a
+	// killed process. An agent starts about as long before its engine registers.
+	startSettle = time.Second
 )
 
 func provideEngine(s *platform.Settings) *platform.Engine { return platform.NewEngine(s.EngineAddress) }
@@ -30,6 +33,6 @@
 		EngineAddress: s.EngineAddress, Zone: s.Zone, Region: s.Region,
 		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerPort: s.FirstPort,
 		UploadRate: int64(float64(s.LinkRate) * uploadShare), FetchRate: int64(float64(s.LinkRate) * fetchShare),
-		SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
+		SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, StartSettle: startSettle, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
 	}
 }
