Answers of endpoints without end no longer use up memory

What callers would see: one endpoint that sends bytes without end in a head held a call until its deadline, which then ended with 504 although other endpoints were free, and the gateway's memory grew until the deadline. A gateway has 284 MB for everything; it would have been killed with all its calls. Seen in tests only.

Cause: http.ReadResponse reads a line, and any number of lines, without a limit. A buffered body was bounded by 8 MiB for each call, not in sum. The body of a rejection, which is not passed on, was read in the same way before the next endpoint was tried. Events without end were passed on until the deadline.

Bounds now: - The head of an answer with the 1xx answers before it: 16 KiB, in the reader between connection and buffer. The attempt ends without an answer (it may have run) and its connection is reset. Errors quote at most 256 bytes of what arrived, since the log keeps 4,096 lines. - Buffers of bodies over 64 KiB: 24 MiB in sum. A body that finds no memory left fails at once. Waiting was ruled out: bodies that wait while they hold buffers can wait for each other. A body with a declared length over the limit is not read at all. Memory while an answer is written to its caller is not counted. - One event: 64 KiB (was 256 KiB), as for adapters/engine. - The body of a rejection: 64 KiB and 250 ms, then the call goes on. - Events of a call with a maximum of output tokens: 2 for each token + 64, since an event has a token or is a comment or a final event. Beyond that the answer is cut; it is not resumed. Without a maximum of output tokens only the deadline ends such a stream. - Other clients: heads of 16 KiB (64 KiB from plain services) instead of the 10 MB of net/http.

--- a/adapters/engine/client.go
+++ b/adapters/engine/client.go
@@ -23,6 +23,8 @@
 	maxControlBytes = 4 << 20
 	// maxErrorBytes bounds the part of an error text that is read.
 	maxErrorBytes = 256
+	// maxHeaderBytes bounds the head of an answer.
+	maxHeaderBytes = 16 << 10
 	// maxIdleConns bounds the idle connections to the engine.
 	maxIdleConns = 256
 	// EndTimeout bounds the time from the last event of a stream to the end of the
@@ -64,7 +66,7 @@
 
 // NewClient returns a client for the engine at base, such as http://127.0.0.1:8000.
 func NewClient(base string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, DialContext: dial}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
@@ -193,7 +195,14 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("engine: read chunk %d of %s: status %d", index, version, response.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, core.MaxChunkBytes))
+	chunk, err := io.ReadAll(io.LimitReader(response.Body, core.MaxChunkBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("engine: read chunk %d of %s: %w", index, version, err)
+	}
+	if len(chunk) > core.MaxChunkBytes {
+		return nil, fmt.Errorf("engine: read chunk %d of %s: larger than %d bytes", index, version, core.MaxChunkBytes)
+	}
+	return chunk, nil
 }
 
 // List returns the indexes of the staged chunks of version.
--- a/adapters/origin/client.go
+++ b/adapters/origin/client.go
@@ -26,6 +26,8 @@
 	// how long one is kept.
 	maxIdleConns    = 4
 	idleConnTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the head of an answer.
+	maxHeaderBytes = 16 << 10
 )
 
 // ErrNotFound means that the version does not exist.
@@ -63,7 +65,7 @@
 		config.OriginURL = config.StoreURL
 	}
 	if config.HTTP == nil {
-		config.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}}
+		config.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}}
 	}
 	return &Client{
 		store:  strings.TrimSuffix(config.StoreURL, "/"),
--- a/adapters/service/client.go
+++ b/adapters/service/client.go
@@ -14,6 +14,9 @@
 // MaxAnswerBytes bounds the body of an answer.
 const MaxAnswerBytes = 4 << 20
 
+// maxHeaderBytes bounds the head of an answer.
+const maxHeaderBytes = 64 << 10
+
 // ErrNotSent means that no byte of the request reached the service.
 var ErrNotSent = errors.New("service: request not sent")
 
@@ -46,7 +49,7 @@
 // Connections are not reused: net/http retries some requests by itself if a reused
 // connection was closed, and a call must be sent only once.
 func NewClient(base string) *Client {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: rejectRedirect}}
 }
 
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -31,7 +31,7 @@
 	pool    *Pool
 	address string
 	raw     net.Conn
-	reader  *bufio.Reader
+	reader  *headReader
 	writer  *bufio.Writer
 	// fresh is set until the connection is used for a second request.
 	fresh bool
@@ -53,7 +53,7 @@
 func newConn(pool *Pool, address string, raw net.Conn) *conn {
 	c := &conn{
 		pool: pool, address: address, raw: raw, fresh: true, keepFor: defaultIdle, state: connBusy,
-		reader: bufio.NewReaderSize(raw, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer),
+		reader: newHeadReader(raw), writer: bufio.NewWriterSize(raw, writeBuffer),
 		readable: make(chan error, 1), resume: make(chan struct{}, 1),
 	}
 	go c.await()
--- a/forward/events.go
+++ b/forward/events.go
@@ -10,7 +10,7 @@
 )
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
+const maxEventBytes = 64 << 10
 
 // Event is one complete event of a stream.
 type Event struct {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// maxInformational bounds the 1xx answers before the final one.
-const maxInformational = 4
-
 // Answer is the head of an endpoint's answer. Its body must be read to the end or
 // closed.
 type Answer struct {
@@ -22,10 +19,15 @@
 	// Framed is set if the message marks the length or the end of the body.
 	Framed bool
 	body   io.ReadCloser
+	// length is the length of the body, -1 if it is not known.
+	length int64
 	conn   *conn
-	stop   func() bool
-	ended  bool
-	reuse  bool
+	// The end of ctx closes the connection. stop prevents that; it returns false if ctx has
+	// ended.
+	ctx   context.Context
+	stop  func() bool
+	ended bool
+	reuse bool
 }
 
 // Do sends an attempt and waits for the head of its answer. mayRepeat is set if the call
@@ -55,7 +57,7 @@
 		}
 		return nil, err
 	}
-	answer.stop = stop
+	answer.ctx, answer.stop = ctx, stop
 	return answer, nil
 }
 
@@ -73,7 +75,7 @@
 	if err := <-c.readable; err != nil {
 		return nil, fmt.Errorf("%w from %s: %w", ErrNoAnswer, c.address, err)
 	}
-	response, err := c.readHead(request)
+	response, err := c.reader.readHead(request)
 	if err != nil {
 		return nil, fmt.Errorf("%w from %s: %w", ErrNoAnswer, c.address, err)
 	}
@@ -87,9 +89,13 @@
 	if classification.Mismatched {
 		return nil, fmt.Errorf("%w from %s: the received answer belongs to another request", ErrNoAnswer, c.address)
 	}
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0 // the answer to a HEAD request declares the length of another body
+	}
 	answer := &Answer{
-		Status: response.StatusCode, Header: response.Header, Classification: classification, body: response.Body, conn: c,
-		Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		Status: response.StatusCode, Header: response.Header, Classification: classification, body: response.Body, length: length, conn: c,
+		Framed: length >= 0 || len(response.TransferEncoding) > 0,
 	}
 	answer.reuse = requestSent && answer.Framed && !response.Close
 	c.keepFor = keepFor(response.Header)
@@ -103,19 +109,6 @@
 	return c.writer.Flush()
 }
 
-func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	for range maxInformational {
-		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
-}
-
 // keepFor returns how long a connection may be kept idle according to the answer's
 // Keep-Alive header.
 func keepFor(header http.Header) time.Duration {
@@ -155,17 +148,3 @@
 	}
 	a.conn.close()
 }
-
-// ReadAll reads the complete body. The error wraps ErrTruncated if the body ends early
-// or is longer than limit bytes.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
-	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("%w: body larger than %d bytes", ErrTruncated, limit)
-	}
-	return body, nil
-}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -44,6 +44,7 @@
 // Pool pools connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	bodies bodyMemory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -52,7 +53,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		idle: map[string][]*conn{},
+		idle: map[string][]*conn{}, bodies: newBodyMemory(),
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
 		}},
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -24,7 +25,7 @@
 func (s *session) forwardBuffered(answer *forward.Answer) (placement.Outcome, step) {
 	body, err := answer.ReadAll(maxAnswerBytes)
 	if err != nil {
-		s.gateway.log.Warn("Answer truncated; the attempt failed.", "request", s.admitted.call.ID, "status", answer.Status, "bytes", len(body), "err", err)
+		s.gateway.log.Warn("Answer truncated; the attempt failed.", "request", s.admitted.call.ID, "status", answer.Status, "err", err)
 		return placement.OutcomeFailed, stepRetry
 	}
 	if s.headSent {
@@ -83,6 +84,11 @@
 			s.gateway.log.Warn("Event out of sequence; the attempt failed.", "request", s.admitted.call.ID, "event", event.ID, "last", s.lastEvent)
 			return s.streamFailed(forward.ErrTruncated)
 		}
+		if maxEvents := s.maxEvents(); s.events >= maxEvents {
+			s.gateway.log.Warn("Stream longer than the maximum output; ending it.", "request", s.admitted.call.ID, "endpoint", s.endpoint,
+				"events", s.events, "maxEvents", maxEvents, "maxOutput", s.admitted.call.MaxOutputTokens)
+			return placement.OutcomeFailed, stepUnknown
+		}
 		if s.begunAt == 0 {
 			s.begunAt = s.gateway.now()
 		}
@@ -100,6 +106,15 @@
 	}
 }
 
+// maxEvents returns the maximum number of events that are passed on for the call.
+func (s *session) maxEvents() int64 {
+	tokens := int64(s.admitted.call.MaxOutputTokens)
+	if tokens <= 0 || tokens > (math.MaxInt64-maxExtraEvents)/maxEventsPerToken {
+		return math.MaxInt64
+	}
+	return tokens*maxEventsPerToken + maxExtraEvents
+}
+
 // writeHead passes on the head of the first answer.
 func (s *session) writeHead(answer *forward.Answer) {
 	if s.headSent {
--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,106 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// maxFlooded bounds what a backend without end writes, in bytes.
+const maxFlooded = 32 << 20
+
+// flood answers with start and then unit again and again, until the connection is closed.
+func flood(start, unit string, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, _ := hijack(w)
+		defer conn.Close()
+		text := start + unit
+		for written := 0; written < maxFlooded; written += len(text) {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+			text = unit
+			time.Sleep(pause)
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// firstThen returns a handler that uses first for the first request and then for the rest.
+func firstThen(first, then http.HandlerFunc) http.HandlerFunc {
+	var number atomic.Int32
+	return func(w http.ResponseWriter, r *http.Request) {
+		if number.Add(1) == 1 {
+			first(w, r)
+			return
+		}
+		then(w, r)
+	}
+}
+
+func TestACallWhoseAnswerHasAHeadWithoutEndIsSentToAnotherEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	answer := firstThen(flood("HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 4<<10), 0), echo)
+	address, _ := start(t, "idempotent", newBackend(t, answer), newBackend(t, answer))
+	sent := time.Now()
+	response, body, err := ask(g, address, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal("team body"))
+	g.Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+}
+
+func TestACallWhoseAnswerHasAHeadWithoutEndMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	answer := flood("HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 4<<10), 0)
+	first, second := newBackend(t, answer), newBackend(t, answer)
+	address, _ := start(t, "non_idempotent", first, second)
+	sent := time.Now()
+	response, _, err := ask(g, address, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	g.Expect(first.runs("1") + second.runs("1")).To(Equal(1))
+	g.Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+}
+
+func TestARejectionWithABodyWithoutEndDoesNotHoldTheCall(t *testing.T) {
+	g := NewWithT(t)
+	reject := flood("HTTP/1.1 503 Full\r\nX-Request-Id: 1\r\nX-Not-Executed: 1\r\n\r\n", "x", 10*time.Millisecond)
+	answer := firstThen(reject, echo)
+	address, _ := start(t, "non_idempotent", newBackend(t, answer), newBackend(t, answer))
+	sent := time.Now()
+	response, body, err := ask(g, address, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal("team body"))
+	g.Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+}
+
+func TestAStreamLongerThanTheMaximumOutputIsEnded(t *testing.T) {
+	const maxOutput, maxEvents = 5, 100
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprintf("resumable=%t", resumable), func(t *testing.T) {
+			g := NewWithT(t)
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				for i := 1; r.Context().Err() == nil; i++ {
+					fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+				}
+			}
+			first, second := newBackend(t, answer), newBackend(t, answer)
+			address, _ := startRoute(t, "streaming", resumable, first, second)
+			sent := time.Now()
+			_, body, err := askWith(g, address, "1", map[string]string{"X-Token-Count": fmt.Sprintf("10,%d", maxOutput)})
+			g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			g.Expect(strings.Count(body, "id: ")).To(And(BeNumerically(">=", maxOutput), BeNumerically("<", maxEvents)))
+			g.Expect(first.runs("1") + second.runs("1")).To(Equal(1))
+			g.Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+		})
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -97,12 +97,18 @@
 	return b
 }
 
-// start runs a gateway in front of the backends and returns its address.
+// start runs a gateway in front of the backends and returns its address. Its route is
+// resumable.
 func start(t *testing.T, kind string, backends ...*backend) (string, *store) {
+	t.Helper()
+	return startRoute(t, kind, true, backends...)
+}
+
+func startRoute(t *testing.T, kind string, resumable bool, backends ...*backend) (string, *store) {
 	t.Helper()
 	g := NewWithT(t)
 	declared := fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":%q,"timeout-ms":2000,"goal-ms":100,
-		"service":"s","max-attempts":2,"resumable":true}],"services":[{"name":"s"}],"tenants":[{"name":"team","api-keys":["key"]}]}`, kind)
+		"service":"s","max-attempts":2,"resumable":%t}],"services":[{"name":"s"}],"tenants":[{"name":"team","api-keys":["key"]}]}`, kind, resumable)
 	s := &store{items: []metastore.Change{{Key: "op/config", Value: []byte(declared), Revision: 1}}}
 	for i, b := range backends {
 		entry, err := json.Marshal(map[string]any{"service": "s", "address": b.address, "zone": "z", "capacity": 4, "state": "ready"})
@@ -148,12 +154,20 @@
 
 // ask sends one request with a key.
 func ask(g *WithT, address, id string) (*http.Response, string, error) {
+	return askWith(g, address, id, nil)
+}
+
+// askWith sends one request with a key and further headers.
+func askWith(g *WithT, address, id string, header map[string]string) (*http.Response, string, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/a/x", strings.NewReader("body"))
 	g.Expect(err).NotTo(HaveOccurred())
 	request.Host = "h"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Timeout-Ms", "2000")
 	request.Header.Set("Authorization", "Bearer key")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return nil, "", err
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,6 +22,14 @@
 	defaultMaxBody = 4 << 20
 	// maxAnswerBytes bounds an answer that is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
+	// maxRejectionBytes and rejectionTimeout bound the reading of a rejection's body, which
+	// is not passed on.
+	maxRejectionBytes = 64 << 10
+	rejectionTimeout  = 250 * time.Millisecond
+	// maxEventsPerToken and maxExtraEvents bound the events of a stream by the maximum of
+	// output tokens. An event has at least one token, or is a comment or a final event.
+	maxEventsPerToken = 2
+	maxExtraEvents    = 64
 	// maxRejectedSends bounds the sends of one call that endpoints reject.
 	maxRejectedSends = 3
 	// answerMargin is subtracted from the deadline so that the final answer arrives in
@@ -334,7 +342,7 @@
 	if answer.Classification.Misdirected {
 		outcome = placement.OutcomeMisdirected
 	}
-	if _, err := answer.ReadAll(maxAnswerBytes); err != nil {
+	if err := answer.Discard(maxRejectionBytes, rejectionTimeout); err != nil {
 		s.gateway.log.Warn("Reading an endpoint's rejection failed; the call counts as rejected.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status, "err", err)
 	}
 	s.rejectedSends++
