A stream without a length is complete when it closes after an event

What callers saw or would see: a stream with neither a length nor chunks, whose endpoint closed the connection after the last event, was run again from Last-Event-Id at another endpoint, or was cut where the route may not be resumed. The reverse for streams with chunks: one whose last chunk came inside an event ended as complete, without that event.

Cause: forwardEvents took only the end of a framed answer for the end of a stream. EventReader wrapped the io.EOF that it met inside an event, and forwardEvents looked for io.EOF with errors.Is, so both ends were the same to it.

Now an answer that is not framed is complete if its connection closes after a whole event of this attempt. It is broken off if the connection is reset, or closes inside an event or without one. A close that is read after the attempt was canceled (caller gone, deadline, endpoint known to be lost) is not a complete body, buffered or streamed. EventReader returns io.EOF only between two events.

An endpoint that crashes after a whole event and whose kernel closes the connection, rather than resetting it, can't be told from one that has finished, unless it is known to be lost by then.

--- a/forward/events.go
+++ b/forward/events.go
@@ -44,6 +44,8 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
 			return Event{}, io.EOF
+		case errors.Is(err, io.EOF):
+			return Event{}, fmt.Errorf("%w: stream ended after %d bytes of an event", ErrTruncated, len(r.buffer))
 		case err != nil:
 			return Event{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(r.buffer) > len(line):
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -16,7 +16,8 @@
 	Status         int
 	Header         http.Header
 	Classification Classification
-	// Framed is set if the message marks the length or the end of the body.
+	// Framed is set if the message marks the length or the end of the body. Otherwise the
+	// body ends when the endpoint closes the connection; a reset interrupts it.
 	Framed bool
 	body   io.ReadCloser
 	// length is the length of the body, -1 if it is not known.
@@ -124,9 +125,14 @@
 	return defaultIdle
 }
 
-// Read implements io.Reader over the body.
+// Read implements io.Reader over the body. The close of a connection ends a body that is
+// not framed only while the exchange goes on: afterwards the endpoint may have crashed.
 func (a *Answer) Read(into []byte) (int, error) {
 	n, err := a.body.Read(into)
+	if err == io.EOF && !a.Framed && a.ctx.Err() != nil {
+		a.Close()
+		return n, fmt.Errorf("connection closed: %w", context.Cause(a.ctx))
+	}
 	if err == io.EOF {
 		a.finish(a.reuse)
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -72,7 +72,7 @@
 	reader := forward.NewEventReader(answer)
 	for {
 		event, err := reader.Next()
-		if errors.Is(err, io.EOF) && answer.Framed {
+		if errors.Is(err, io.EOF) && s.endsComplete(answer) {
 			s.writeHead(answer)
 			outcomes.Add("answered", 1)
 			return placement.OutcomeAnswered, stepDone
@@ -106,6 +106,12 @@
 	}
 }
 
+// endsComplete reports whether a stream that has ended between two events is complete. A
+// closed connection without an event is no stream.
+func (s *session) endsComplete(answer *forward.Answer) bool {
+	return answer.Framed || s.begunAt != 0
+}
+
 // maxEvents returns the maximum number of events that are passed on for the call.
 func (s *session) maxEvents() int64 {
 	tokens := int64(s.admitted.call.MaxOutputTokens)
