--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,166 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+)
+
+const (
+	// maxRecords bounds the records sent and accepted at a time.
+	maxRecords = 32
+	// maxIDLength bounds the identifiers accepted from other processes, in bytes.
+	maxIDLength = 256
+	// maxTrials bounds the number of trials that is counted.
+	maxTrials = 1000
+	// newsTime is how long what this process saw itself is sent before what it learned.
+	newsTime = 2 * time.Second
+)
+
+// Record is what a process knows of one part, with ages in place of times.
+type Record struct {
+	Service core.ServiceID
+	Part    core.PromptPart
+	// Crashes are the crashes that cut calls with the part.
+	Crashes []CrashAge
+	// Trials is the number of trials since the part was blocked, and TrialAge how long ago
+	// the last one was.
+	Trials   int
+	TrialAge time.Duration
+}
+
+// CrashAge is how long ago an engine ended.
+type CrashAge struct {
+	Crash
+	Age time.Duration
+	// Cleared is set if a call with the part was answered completely after the crash.
+	Cleared bool
+}
+
+// ranking is a part with what orders it among others.
+type ranking struct {
+	key     subject
+	suspect *suspect
+	blocked bool
+	news    bool
+	count   int
+}
+
+// ranked returns the parts that have not expired, the ones that matter most to other
+// processes first.
+func (t *Tracker) ranked(now boottime.Instant) []ranking {
+	list := make([]ranking, 0, len(t.suspects))
+	for key, s := range t.suspects {
+		if s.expired(now) {
+			continue
+		}
+		count := s.count(t.config.Spacing)
+		list = append(list, ranking{
+			key: key, suspect: s, count: count, blocked: count >= t.config.Threshold,
+			news: s.own && now.Sub(s.changedAt) <= newsTime,
+		})
+	}
+	slices.SortFunc(list, compareRanking)
+	return list
+}
+
+func compareRanking(a, b ranking) int {
+	return cmp.Or(
+		compareBool(b.blocked, a.blocked),
+		compareBool(b.news, a.news),
+		cmp.Compare(b.count, a.count),
+		cmp.Compare(b.suspect.changedAt, a.suspect.changedAt),
+		cmp.Compare(a.key.service, b.key.service),
+		cmp.Compare(a.key.part, b.key.part),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// Records returns what other processes should know: at most 32 parts, blocked ones first.
+func (t *Tracker) Records(now boottime.Instant) []Record {
+	ranked := t.ranked(now)
+	records := make([]Record, 0, min(len(ranked), maxRecords))
+	for _, r := range ranked[:min(len(ranked), maxRecords)] {
+		records = append(records, r.suspect.record(now, r.key))
+	}
+	return records
+}
+
+// record returns the state of a part for other processes.
+func (s *suspect) record(now boottime.Instant, key subject) Record {
+	crashes := make([]CrashAge, len(s.crashes))
+	for i, known := range s.crashes {
+		crashes[i] = CrashAge{Crash: known.Crash, Age: now.Sub(known.at), Cleared: known.cleared}
+	}
+	record := Record{Service: key.service, Part: key.part, Crashes: crashes, Trials: s.trials}
+	if s.trials > 0 {
+		record.TrialAge = now.Sub(s.triedAt)
+	}
+	return record
+}
+
+// Learn adds the records that another process sent, and reports whether any was news.
+// Messages may be lost, repeated or reordered.
+func (t *Tracker) Learn(now boottime.Instant, records []Record) (changed bool) {
+	for _, record := range records[:min(len(records), maxRecords)] {
+		changed = t.learn(now, record) || changed
+	}
+	t.evict(now)
+	return changed
+}
+
+// learn adds one record.
+func (t *Tracker) learn(now boottime.Instant, record Record) bool {
+	crashes := validCrashes(now, record)
+	if len(crashes) == 0 {
+		return false
+	}
+	key := subject{record.Service, record.Part}
+	s := t.suspect(now, key)
+	changed := false
+	for _, seen := range crashes {
+		changed = s.addCrash(seen) || changed
+		t.addServiceCrash(now, record.Service, seen)
+	}
+	if record.Trials > 0 {
+		changed = s.mergeTrials(min(record.Trials, maxTrials), now.Add(-clampAge(record.TrialAge))) || changed
+	}
+	if changed {
+		s.changed(now, false)
+		t.version++
+	}
+	if at, known := t.answered.Peek(key); known {
+		t.clear(now, s, at)
+	}
+	return changed
+}
+
+// validCrashes returns the crashes of a record that are recent enough to matter.
+func validCrashes(now boottime.Instant, record Record) []crashTime {
+	if len(record.Service) > maxIDLength || len(record.Part) > maxIDLength {
+		return nil
+	}
+	var valid []crashTime
+	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
+		if len(crash.Endpoint) <= maxIDLength && crash.Age <= retention {
+			valid = append(valid, crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), cleared: crash.Cleared})
+		}
+	}
+	return valid
+}
+
+// clampAge bounds an age that another process sent.
+func clampAge(age time.Duration) time.Duration { return min(max(age, 0), retention) }
--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,143 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+)
+
+// maxCrashes bounds the crashes that are remembered of a part; the oldest are removed.
+const maxCrashes = 16
+
+// trialDelays are the times after the last crash or trial at which the next trial is due,
+// by the number of trials before it. The last one repeats.
+var trialDelays = [...]time.Duration{20 * time.Second, 80 * time.Second, 5 * time.Minute}
+
+// crashTime is a crash and the earliest time at which it is known to have been seen.
+type crashTime struct {
+	Crash
+	at boottime.Instant
+	// cleared is set if a call with the part was answered completely after the crash.
+	cleared bool
+}
+
+// suspect is what is known of a part that was in the prompt of a call cut by a crash. Its
+// state merges with that of other processes in any order: crashes by union, the time of
+// each by the earliest, cleared if any process says so, trials by the largest number.
+type suspect struct {
+	// crashes are ordered by time.
+	crashes []crashTime
+	// trials is the number of trials and triedAt the time of the last one.
+	trials  int
+	triedAt boottime.Instant
+	// changedAt is when the state last changed. own tells that this process saw what
+	// changed it.
+	changedAt boottime.Instant
+	own       bool
+}
+
+// changed notes that other processes should learn of the part.
+func (s *suspect) changed(now boottime.Instant, own bool) { s.changedAt, s.own = now, own }
+
+// addCrash adds a crash or what is known about one that was added before. It reports
+// whether the crash is new or has been cleared.
+func (s *suspect) addCrash(seen crashTime) bool {
+	if i := s.find(seen.Crash); i >= 0 {
+		known := &s.crashes[i]
+		changed := seen.cleared && !known.cleared
+		known.cleared = known.cleared || seen.cleared
+		known.at = min(known.at, seen.at)
+		s.sort()
+		return changed
+	}
+	s.crashes = append(s.crashes, seen)
+	s.sort()
+	if len(s.crashes) > maxCrashes {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+	return s.find(seen.Crash) >= 0
+}
+
+// find returns the index of a crash, -1 if it is not known.
+func (s *suspect) find(crash Crash) int {
+	return slices.IndexFunc(s.crashes, func(known crashTime) bool { return known.Crash == crash })
+}
+
+func (s *suspect) sort() {
+	slices.SortFunc(s.crashes, func(a, b crashTime) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Boot, b.Boot))
+	})
+}
+
+// clear marks the crashes before an instant as cleared and reports whether any was not.
+func (s *suspect) clear(at boottime.Instant) bool {
+	changed := false
+	for i := range s.crashes {
+		if known := &s.crashes[i]; known.at < at && !known.cleared {
+			known.cleared, changed = true, true
+		}
+	}
+	return changed
+}
+
+// count returns the number of separate crashes since the last answer: those that are at
+// least spacing apart.
+func (s *suspect) count(spacing time.Duration) int {
+	count := 0
+	var last boottime.Instant
+	for _, known := range s.crashes {
+		if !known.cleared && (count == 0 || known.at.Sub(last) >= spacing) {
+			count++
+			last = known.at
+		}
+	}
+	return count
+}
+
+// expired reports whether the last crash is too old to matter.
+func (s *suspect) expired(now boottime.Instant) bool {
+	return len(s.crashes) == 0 || now.Sub(s.lastCrash()) > retention
+}
+
+// lastCrash returns the time of the last crash.
+func (s *suspect) lastCrash() boottime.Instant { return s.crashes[len(s.crashes)-1].at }
+
+// currentTrials returns the number of trials since the part was last known to be sound.
+func (s *suspect) currentTrials() int {
+	for _, known := range s.crashes {
+		if !known.cleared {
+			if s.triedAt < known.at {
+				return 0
+			}
+			return s.trials
+		}
+	}
+	return 0
+}
+
+// trialDue returns when the next trial is due.
+func (s *suspect) trialDue() boottime.Instant {
+	trials := s.currentTrials()
+	since := s.lastCrash()
+	if trials > 0 {
+		since = max(since, s.triedAt)
+	}
+	return since.Add(trialDelays[min(trials, len(trialDelays)-1)])
+}
+
+// addTrial records a trial.
+func (s *suspect) addTrial(now boottime.Instant) {
+	s.trials, s.triedAt = min(s.currentTrials()+1, maxTrials), now
+}
+
+// mergeTrials adds what another process knows of trials and reports whether it is news.
+func (s *suspect) mergeTrials(trials int, at boottime.Instant) bool {
+	if trials < s.trials || trials == s.trials && (trials == 0 || at >= s.triedAt) {
+		return false
+	}
+	news := trials > s.trials
+	s.trials, s.triedAt = trials, at
+	return news
+}
