--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,13 +19,17 @@
 	"github.com/zinniaseam/zinniaseam/fleet"
 )
 
+// HarmDelay is the longest time for which an engine writes on a harmful part before it
+// ends.
+const HarmDelay = 100 * time.Millisecond
+
 const (
 	// defaultThreshold is the number of separate crashes after which a part is blocked.
-	defaultThreshold = 3
+	defaultThreshold = 4
 	// defaultSpacing is the time by which crashes must be apart to count separately. The
 	// ages of crashes that other processes report lack the delay of the message, so that
 	// crashes at one instant appear this far apart.
-	defaultSpacing = 500 * time.Millisecond
+	defaultSpacing = 150 * time.Millisecond
 	// repeatWindow is how long a complete answer, or a crash, bears on whether a call may
 	// be sent to another engine.
 	repeatWindow = 10 * time.Second
@@ -119,7 +123,7 @@
 	for _, parts := range calls {
 		for _, part := range parts {
 			s := t.suspect(now, subject{service, part})
-			if s.addCrash(seen) {
+			if s.addCrash(seen, t.config.Spacing) {
 				s.changed(now, true)
 				t.version++
 			}
@@ -129,13 +133,27 @@
 }
 
 // Answered records that a call with these shared parts was answered completely. It clears
-// the crashes that are known of them.
+// the crashes that are known of them. SoundAt is more exact if the start of the answer is
+// known.
 func (t *Tracker) Answered(now boottime.Instant, service core.ServiceID, parts []core.PromptPart) {
+	t.SoundAt(now, now, service, parts)
+}
+
+// SoundAt records that an engine survived a call with these shared parts: an answer that
+// began HarmDelay before the instant at has gone on for 500 ms or was completed. It clears
+// the crashes before that instant.
+//
+// An answer that began before a part turned harmful is completed after the first crashes,
+// but does not clear them.
+func (t *Tracker) SoundAt(now, at boottime.Instant, service core.ServiceID, parts []core.PromptPart) {
+	at = min(at, now)
 	for _, part := range parts {
 		key := subject{service, part}
-		t.answered.Add(key, now)
+		if known, found := t.answered.Get(key); !found || at > known {
+			t.answered.Add(key, at)
+		}
 		if s := t.suspects[key]; s != nil {
-			t.clear(now, s, now)
+			t.clear(now, s, at)
 		}
 	}
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -124,42 +124,63 @@
 
 // learn adds one record.
 func (t *Tracker) learn(now boottime.Instant, record Record) bool {
-	crashes := validCrashes(now, record)
-	if len(crashes) == 0 {
+	if !acceptable(record) {
 		return false
 	}
 	key := subject{record.Service, record.Part}
 	s := t.suspect(now, key)
 	changed := false
-	for _, seen := range crashes {
-		changed = s.addCrash(seen) || changed
-		t.addServiceCrash(now, record.Service, seen)
+	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
+		if len(crash.Endpoint) > maxIDLength || crash.Age > retention {
+			continue
+		}
+		seen := crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), learned: true, cleared: crash.Cleared}
+		if s.addCrash(seen, t.config.Spacing) {
+			changed = true
+			t.addServiceCrash(now, record.Service, seen)
+		}
+	}
+	if len(s.crashes) == 0 {
+		delete(t.suspects, key)
+		return false
 	}
 	if record.Trials > 0 {
 		changed = s.mergeTrials(min(record.Trials, maxTrials), now.Add(-clampAge(record.TrialAge))) || changed
 	}
 	if changed {
 		s.changed(now, false)
-		t.version++
+		if at, known := t.answered.Peek(key); known {
+			t.clear(now, s, at)
+		}
 	}
-	if at, known := t.answered.Peek(key); known {
-		t.clear(now, s, at)
+	if s.knowsBetter(record) {
+		s.changed(now, true)
+		t.version++
+	} else if changed && s.count(t.config.Spacing) > 0 {
+		t.version++
 	}
 	return changed
 }
 
-// validCrashes returns the crashes of a record that are recent enough to matter.
-func validCrashes(now boottime.Instant, record Record) []crashTime {
-	if len(record.Service) > maxIDLength || len(record.Part) > maxIDLength {
-		return nil
-	}
-	var valid []crashTime
+// knowsBetter reports whether a process that sent a record suspects a part more than it
+// should: it knows of several crashes and not that one of them has been cleared.
+func (s *suspect) knowsBetter(record Record) bool {
+	suspected, outdated := 0, false
 	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
-		if len(crash.Endpoint) <= maxIDLength && crash.Age <= retention {
-			valid = append(valid, crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), cleared: crash.Cleared})
+		if crash.Cleared {
+			continue
+		}
+		suspected++
+		if i := s.find(crash.Crash); i >= 0 && s.crashes[i].cleared {
+			outdated = true
 		}
 	}
-	return valid
+	return outdated && suspected > maxRepeatCrashes
+}
+
+// acceptable reports whether the identifiers of a record have a plausible length.
+func acceptable(record Record) bool {
+	return len(record.Service) <= maxIDLength && len(record.Part) <= maxIDLength
 }
 
 // clampAge bounds an age that another process sent.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -8,9 +8,12 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 )
 
-// maxCrashes bounds the crashes that are remembered of a part; the oldest are removed.
+// maxCrashes bounds the crashes that are remembered of a part.
 const maxCrashes = 16
 
+// messageDelay is by how much a crash that another process reports may appear late.
+const messageDelay = 500 * time.Millisecond
+
 // trialDelays are the times after the last crash or trial at which the next trial is due,
 // by the number of trials before it. The last one repeats.
 var trialDelays = [...]time.Duration{20 * time.Second, 80 * time.Second, 5 * time.Minute}
@@ -19,10 +22,21 @@
 type crashTime struct {
 	Crash
 	at boottime.Instant
+	// learned is set if only other processes have seen the crash. at may then be late by
+	// the delay of messages.
+	learned bool
 	// cleared is set if a call with the part was answered completely after the crash.
 	cleared bool
 }
 
+// earliest returns the earliest time at which the crash may have been.
+func (c crashTime) earliest() boottime.Instant {
+	if c.learned {
+		return c.at.Add(-messageDelay)
+	}
+	return c.at
+}
+
 // suspect is what is known of a part that was in the prompt of a call cut by a crash. Its
 // state merges with that of other processes in any order: crashes by union, the time of
 // each by the earliest, cleared if any process says so, trials by the largest number.
@@ -43,21 +57,44 @@
 
 // addCrash adds a crash or what is known about one that was added before. It reports
 // whether the crash is new or has been cleared.
-func (s *suspect) addCrash(seen crashTime) bool {
+func (s *suspect) addCrash(seen crashTime, spacing time.Duration) bool {
 	if i := s.find(seen.Crash); i >= 0 {
 		known := &s.crashes[i]
 		changed := seen.cleared && !known.cleared
 		known.cleared = known.cleared || seen.cleared
-		known.at = min(known.at, seen.at)
-		s.sort()
+		known.learned = known.learned && seen.learned
+		if seen.at < known.at {
+			known.at = seen.at
+			s.sort()
+		}
 		return changed
 	}
 	s.crashes = append(s.crashes, seen)
 	s.sort()
-	if len(s.crashes) > maxCrashes {
-		s.crashes = slices.Delete(s.crashes, 0, 1)
+	if len(s.crashes) <= maxCrashes {
+		return true
 	}
-	return s.find(seen.Crash) >= 0
+	removed := s.leastNeeded(spacing)
+	isNew := s.crashes[removed].Crash != seen.Crash
+	s.crashes = slices.Delete(s.crashes, removed, removed+1)
+	return isNew
+}
+
+// leastNeeded returns the index of a crash that does not count because it is too near to
+// one that does, or else the oldest one. Many crashes within a short time therefore do not
+// displace those that count separately.
+func (s *suspect) leastNeeded(spacing time.Duration) int {
+	last := -1
+	for i, known := range s.crashes {
+		switch {
+		case known.cleared:
+		case last >= 0 && known.at.Sub(s.crashes[last].at) < spacing:
+			return i
+		default:
+			last = i
+		}
+	}
+	return 0
 }
 
 // find returns the index of a crash, -1 if it is not known.
@@ -71,11 +108,11 @@
 	})
 }
 
-// clear marks the crashes before an instant as cleared and reports whether any was not.
+// clear marks the crashes that may have been before an instant as cleared and reports whether any was not.
 func (s *suspect) clear(at boottime.Instant) bool {
 	changed := false
 	for i := range s.crashes {
-		if known := &s.crashes[i]; known.at < at && !known.cleared {
+		if known := &s.crashes[i]; known.earliest() < at && !known.cleared {
 			known.cleared, changed = true, true
 		}
 	}
