Block a part after four separate crashes, and clear it by the start of answers

Cause (BUDGET): no process can tell a part that ends engines from the parts of the calls that are cut with it. This completes the decision; nothing is wired to it yet.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,9 +26,9 @@
 const (
 	// defaultThreshold is the number of separate crashes after which a part is blocked.
 	defaultThreshold = 4
-	// defaultSpacing is the time by which crashes must be apart to count separately. The
-	// ages of crashes that other processes report lack the delay of the message, so that
-	// crashes at one instant appear this far apart.
+	// defaultSpacing is the time by which crashes must be apart to count separately. Crashes
+	// at one instant that different processes report appear apart by the difference of the
+	// delays of their messages.
 	defaultSpacing = 150 * time.Millisecond
 	// repeatWindow is how long a complete answer, or a crash, bears on whether a call may
 	// be sent to another engine.
@@ -140,8 +140,8 @@
 }
 
 // SoundAt records that an engine survived a call with these shared parts: an answer that
-// began HarmDelay before the instant at has gone on for 500 ms or was completed. It clears
-// the crashes before that instant.
+// began HarmDelay before the instant at has gone on for well over HarmDelay, such as 250 ms,
+// or was completed. It clears the crashes before that instant.
 //
 // An answer that began before a part turned harmful is completed after the first crashes,
 // but does not clear them.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -300,3 +300,21 @@
 		}
 	})
 }
+
+// A crash whose report was delayed appeared later than the answer that clears it.
+func TestTheEarliestReportOfACrashCounts(t *testing.T) {
+	g := NewWithT(t)
+	report := func(delay time.Duration) []quarantine.Record {
+		record := quarantine.Record{Service: service, Part: "a"}
+		for i := range 4 {
+			record.Crashes = append(record.Crashes, quarantine.CrashAge{Crash: crash(i), Age: time.Duration(i)*apart + 5*time.Second - delay})
+		}
+		return []quarantine.Record{record}
+	}
+	tracker, now := quarantine.New(quarantine.Config{}), start.Add(10*time.Second)
+	tracker.Learn(now, report(5*time.Second))
+	tracker.Learn(now, report(0))
+	g.Expect(blocked(tracker, 10*time.Second, "a")).To(BeTrue())
+	tracker.SoundAt(now, start.Add(5*time.Second), service, []core.PromptPart{"a"})
+	g.Expect(blocked(tracker, 10*time.Second, "a")).To(BeFalse())
+}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -28,7 +28,8 @@
 	// suspectWindow is how long after its first event a call may still be what ended its
 	// engine.
 	suspectWindow = 500 * time.Millisecond
-	// soundAfter is how long an answer has to go on to show that its parts are sound.
+	// soundAfter is how long an answer has to go on at a gateway to show that its parts are
+	// sound.
 	soundAfter = 250 * time.Millisecond
 	// crashDelay is the time from the start of a harmful answer to the end of the engine.
 	crashDelay = 70 * time.Millisecond
