Quarantine: ignore records without a usable crash

A record with trials but no crash was kept or dropped depending on whether the part was known before, so that the order of messages mattered. No process sends one. Unit and property tests (1,000 checks) were run after the change, the rest was not.

--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -129,11 +129,12 @@
 	}
 	key := subject{record.Service, record.Part}
 	s := t.suspect(now, key)
-	changed := false
+	changed, valid := false, false
 	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
 		if len(crash.Endpoint) > maxIDLength || crash.Age > retention {
 			continue
 		}
+		valid = true
 		seen := crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), learned: true, cleared: crash.Cleared}
 		if s.addCrash(seen, t.config.Spacing) {
 			changed = true
@@ -142,6 +143,8 @@
 	}
 	if len(s.crashes) == 0 {
 		delete(t.suspects, key)
+	}
+	if !valid {
 		return false
 	}
 	if record.Trials > 0 {
