Calls with a prompt part that crashes engines are kept away from them

Cause: gateways passed the parts of a prompt on unread, took an ended engine for a fault of its own, and sent the call that ended it to the next one.

Now a gateway that loses connections to an engine tries to open another; refused means that the engine has ended. The parts of the calls that had not begun there, or just begun, are counted by quarantine.Tracker, whose records all gateways exchange through agents. Calls with a quarantined part get 503 at once, waiting ones are abandoned, and a call that may have ended its engine is not sent to a second one. Parts clear themselves when an engine goes on for 250 ms after the first event of a call with them. One gateway sends single trials.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
+	"github.com/zinniaseam/zinniaseam/quarantine"
 	"github.com/zinniaseam/zinniaseam/rollout"
 	"github.com/zinniaseam/zinniaseam/slotshare"
 	"github.com/zinniaseam/zinniaseam/transfer"
@@ -118,7 +119,9 @@
 	// of their times.
 	declared        map[string]*rollout.Declarations
 	declaredChanges int
-	pauses          *boottime.PauseDetector
+	// promptParts are the parts of prompts under which engines ended.
+	promptParts *quarantine.Tracker
+	pauses      *boottime.PauseDetector
 	// failedPolls is the number of consecutive status polls that failed.
 	failedPolls int
 }
@@ -129,7 +132,7 @@
 		config: config, engine: engine, log: logger.WithPrefix("agent"), pool: pool,
 		status: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
 		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
-		declared: map[string]*rollout.Declarations{}, pauses: boottime.NewPauseDetector(boottime.Now),
+		declared: map[string]*rollout.Declarations{}, promptParts: quarantine.New(quarantine.Config{}), pauses: boottime.NewPauseDetector(boottime.Now),
 	}
 	gate := newStagingGate(staging, config.StartSettle)
 	spreader, err := transfer.New(transfer.Config{
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -385,3 +385,33 @@
 	g.Eventually(func() int64 { return gw.last().GetVersion() }, 5*time.Second, 10*time.Millisecond).Should(BeEquivalentTo(2))
 	g.Expect(e.loadedAt.Sub(arrived)).To(BeNumerically("<", 900*time.Millisecond), "0.3 of the switch time from the arrival, and the load")
 }
+
+// Any one gateway sees fewer ends of engines than there are.
+func TestRecordsOfPromptPartsReachAllGateways(t *testing.T) {
+	g := NewWithT(t)
+	address := startFor(t, newSingleCopyEngine())
+	first, second := follow(t, address, "first", "r"), follow(t, address, "second", "r2")
+	end := func(endpoint string) *peerpb.PromptPartRecord {
+		return &peerpb.PromptPartRecord{Service: "s", Part: "p", Ends: []*peerpb.EngineEnd{{Endpoint: endpoint, Boot: 1, AgeMs: 10}}}
+	}
+	endsKnownTo := func(gw *gateway) func() map[string]bool {
+		return func() map[string]bool {
+			known := map[string]bool{}
+			for _, status := range gw.received() {
+				for _, record := range status.GetPromptParts() {
+					for _, e := range record.GetEnds() {
+						known[e.GetEndpoint()] = true
+					}
+				}
+			}
+			return known
+		}
+	}
+	g.Expect(first.stream.Send(&peerpb.GatewayNews{PromptParts: []*peerpb.PromptPartRecord{end("e1")}})).To(Succeed())
+	g.Expect(second.stream.Send(&peerpb.GatewayNews{PromptParts: []*peerpb.PromptPartRecord{end("e2")}})).To(Succeed())
+	both := And(HaveKey("e1"), HaveKey("e2"))
+	g.Eventually(endsKnownTo(first), time.Second, 10*time.Millisecond).Should(both)
+	g.Eventually(endsKnownTo(second), time.Second, 10*time.Millisecond).Should(both)
+	late := follow(t, address, "late", "r")
+	g.Eventually(endsKnownTo(late), time.Second, 10*time.Millisecond).Should(both, "a gateway that has just started")
+}
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -47,6 +47,10 @@
 	// echo is the clock in the gateway's last message, which arrived at echoAt.
 	echo   uint64
 	echoAt boottime.Instant
+	// sentRecords is the version of the records of prompt parts that were sent to it at
+	// recordsAt.
+	sentRecords uint64
+	recordsAt   time.Time
 	// sentDeclared is the number of changes of declarations that were sent to it.
 	sentDeclared int
 }
@@ -126,6 +130,7 @@
 			return err
 		}
 		f.agent.learnDeclarations(message.GetDeclarations())
+		f.agent.learnRecords(message.GetPromptParts())
 		if fleet := message.GetFleet(); fleet != nil {
 			f.agent.updater.offerDeclaration(fleet)
 		}
@@ -182,6 +187,7 @@
 	}
 	now := time.Now()
 	f.addRelays(now, status)
+	f.addRecords(now, status)
 	if !f.due(now, status) {
 		return nil, a.changed
 	}
@@ -210,7 +216,7 @@
 func (f *follower) due(now time.Time, status *peerpb.EngineNews) bool {
 	sent := f.sent
 	switch {
-	case sent == nil || status.GetRelays() != nil || f.sentDeclared != f.agent.declaredChanges || now.Sub(f.sentAt) >= f.loadInterval():
+	case sent == nil || status.GetRelays() != nil || status.GetPromptParts() != nil || f.sentDeclared != f.agent.declaredChanges || now.Sub(f.sentAt) >= f.loadInterval():
 		return true
 	case (sent.GetClosesInMs() == 0) != (status.GetClosesInMs() == 0):
 		return true
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -45,6 +45,7 @@
 	ReasonZoneOut          Reason = "zone_out"
 	ReasonLeaving          Reason = "leaving"
 	ReasonWarming          Reason = "warming"
+	ReasonQuarantined      Reason = "quarantined"
 	ReasonPlatformDown     Reason = "platform_down"
 	ReasonNotHome          Reason = "not_home"
 	ReasonKeyUsed          Reason = "key_used"
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -45,6 +45,11 @@
 	// memberSenders is how many gateways of a region send an agent the list of machines
 	// that serve the same model.
 	memberSenders = 2
+	// recordHubs is how many agents a gateway sends its records of prompt parts to.
+	recordHubs = 3
+	// recordRepeat is how often unchanged records are sent to an agent, since agents and
+	// gateways ignore records that may have waited while they were suspended.
+	recordRepeat = time.Second
 )
 
 // agents keeps a stream to the agent of each engine of the deployment.
@@ -84,6 +89,8 @@
 	// after the agent's first status report.
 	version  int64
 	reported bool
+	// connected is set while the stream is open.
+	connected bool
 }
 
 // wakeAll makes the senders of all streams check for changes.
@@ -221,6 +228,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		a.setDisconnected(link)
 		if !disconnected {
 			disconnected = true
 			a.gateway.log.Warn("Lost the connection to an agent; retrying.", "engine", engine, "err", err)
@@ -231,6 +239,12 @@
 	}
 }
 
+func (a *agents) setDisconnected(link *agentLink) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	link.connected = false
+}
+
 func (a *agents) stream(ctx context.Context, engine string, link *agentLink, disconnected *bool) error {
 	host, _, err := net.SplitHostPort(engine)
 	if err != nil {
@@ -262,6 +276,7 @@
 		}
 		if a.pauses.RanFor(settleTime) {
 			a.scheduler.learnDeclarations(status.GetDeclarations())
+			a.gateway.quarantine.learn(peers.DecodeRecords(status.GetPromptParts()))
 		}
 		a.scheduler.updateEngine(status)
 		a.applyStatus(link, status)
@@ -274,7 +289,7 @@
 func (a *agents) applyStatus(link *agentLink, status *peerpb.EngineNews) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	link.version, link.reported = status.GetVersion(), true
+	link.version, link.reported, link.connected = status.GetVersion(), true, true
 	if status.GetRelays() == nil {
 		return
 	}
@@ -300,7 +315,7 @@
 // sendUpdates sends changes until the stream ends. The receiving side reports the
 // error.
 func (a *agents) sendUpdates(stream grpc.BidiStreamingClient[peerpb.GatewayNews, peerpb.EngineNews], link *agentLink) {
-	sent := &peerpb.GatewayNews{}
+	sent := &sentNews{GatewayNews: &peerpb.GatewayNews{}}
 	for {
 		message, changed := a.nextMessage(link, sent)
 		if message != nil && stream.Send(message) != nil {
@@ -318,7 +333,8 @@
 // none, and a channel that is closed at the next change. The returned values are
 // recorded in sent. Each message also carries the ages of recent declarations and a clock
 // that the agent returns; a message with these alone is sent after demandRepeat.
-func (a *agents) nextMessage(link *agentLink, sent *peerpb.GatewayNews) (*peerpb.GatewayNews, <-chan struct{}) {
+func (a *agents) nextMessage(link *agentLink, sent *sentNews) (*peerpb.GatewayNews, <-chan struct{}) {
+	records, version := a.gateway.quarantine.records()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	message := &peerpb.GatewayNews{}
@@ -341,6 +357,10 @@
 	if known := a.gateway.relay.manifestOf(link.fleet); link.sameRegion && known.GetVersion() != sent.Manifest.GetVersion() {
 		message.Manifest, sent.Manifest = known, known
 	}
+	now := time.Now()
+	if len(records) > 0 && a.sendsRecords(link) && (version != sent.records || now.Sub(sent.recordsAt) >= recordRepeat) {
+		message.PromptParts, sent.records, sent.recordsAt = peers.EncodeRecords(records), version, now
+	}
 	sentMs := uint64(time.Duration(a.scheduler.now()).Milliseconds())
 	if proto.Equal(message, &peerpb.GatewayNews{}) && sentMs-sent.SentMs < uint64(demandRepeat.Milliseconds()) {
 		return nil, link.changed
@@ -350,6 +370,43 @@
 	return message, link.changed
 }
 
+// sentNews is what has been sent on one stream.
+type sentNews struct {
+	*peerpb.GatewayNews
+	// records is the version of the quarantine's records.
+	records   uint64
+	recordsAt time.Time
+}
+
+// sendsRecords reports whether an agent is one of the recordHubs agents to which this
+// process sends records of prompt parts. Each agent passes them on to all gateways. They are
+// chosen by rendezvous hashing.
+func (a *agents) sendsRecords(link *agentLink) bool {
+	before := 0
+	own := xxh3.HashString(a.name + link.address)
+	for address, other := range a.current {
+		if other.connected && xxh3.HashString(a.name+address) < own {
+			before++
+		}
+	}
+	return before < recordHubs
+}
+
+// mayTry reports whether this process is the gateway that sends the trials of a prompt
+// part, chosen by rendezvous hashing among the gateways that agents know.
+func (a *agents) mayTry(part core.PromptPart) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	self := a.gateway.config.Relay.Listen
+	own := xxh3.HashString(string(part) + self)
+	for _, m := range a.relays {
+		if m.GetAddress() != self && xxh3.HashString(string(part)+m.GetAddress()) < own {
+			return false
+		}
+	}
+	return true
+}
+
 // sendsMembers reports whether this process is one of the memberSenders gateways of its
 // region that send an agent the list of machines serving the same model. They are
 // chosen by rendezvous hashing, so that not every gateway sends the list.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -25,6 +25,7 @@
 func (s *session) forwardBuffered(answer *forward.Answer) (placement.Outcome, step) {
 	body, err := answer.ReadAll(maxAnswerBytes)
 	if err != nil {
+		s.lost = s.ctx.Err() == nil
 		s.gateway.log.Warn("Answer truncated; the attempt failed.", "request", s.admitted.call.ID, "status", answer.Status, "err", err)
 		return placement.OutcomeFailed, stepRetry
 	}
@@ -85,12 +86,16 @@
 			return s.streamFailed(forward.ErrTruncated)
 		}
 		if maxEvents := s.maxEvents(); s.events >= maxEvents {
-			s.gateway.log.Warn("Stream longer than the maximum output; ending it.", "request", s.admitted.call.ID, "endpoint", s.endpoint,
+			s.gateway.log.Warn("Stream longer than the maximum output; ending it.", "request", s.admitted.call.ID, "endpoint", s.endpoint.ID,
 				"events", s.events, "maxEvents", maxEvents, "maxOutput", s.admitted.call.MaxOutputTokens)
 			return placement.OutcomeFailed, stepUnknown
 		}
 		if s.begunAt == 0 {
 			s.begunAt = s.gateway.now()
+			s.begun.Store(true)
+		}
+		if !s.provedSound && s.gateway.now().Sub(s.begunAt) >= provingTime {
+			s.gateway.quarantine.proved(s)
 		}
 		s.writeHead(answer)
 		if _, err := s.writer.Write(event.Bytes); err != nil {
@@ -145,7 +150,8 @@
 
 // streamFailed ends an attempt whose stream was interrupted or malformed.
 func (s *session) streamFailed(err error) (placement.Outcome, step) {
-	s.gateway.log.Warn("Stream interrupted; the attempt failed.", "request", s.admitted.call.ID, "endpoint", s.endpoint, "begunMs", s.begunMs(),
+	s.lost = s.ctx.Err() == nil
+	s.gateway.log.Warn("Stream interrupted; the attempt failed.", "request", s.admitted.call.ID, "endpoint", s.endpoint.ID, "begunMs", s.begunMs(),
 		"parts", s.admitted.call.SharedParts, "events", s.events, "last", s.lastEvent, "err", err)
 	return placement.OutcomeFailed, stepRetry
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,8 +78,10 @@
 	agents    *agents
 	relay     *relay
 	retries   retryDetector
-	log       *log.Logger
-	now       boottime.Clock
+	// quarantine keeps calls with harmful prompt parts away from engines.
+	quarantine *quarantineGuard
+	log        *log.Logger
+	now        boottime.Clock
 
 	stopping atomic.Bool
 	open     atomic.Int64
@@ -103,6 +105,8 @@
 		pool: pool, port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*agentLink{}, pauses: boottime.NewPauseDetector(now),
 	}
+	g.quarantine = newQuarantineGuard(now, logger)
+	g.quarantine.changed, g.quarantine.mayTry = g.agents.wakeAll, g.agents.mayTry
 	g.scheduler.lender = newLender(config.Relay, pool, g.scheduler, logger)
 	relay.onManifest, relay.enginesServing = g.agents.wakeAll, g.agents.enginesServing
 	tracker.OnChange(g.scheduler.setView)
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/quarantine"
+)
+
+const (
+	// probeTimeout bounds the connection attempt that tells whether an engine has ended.
+	// An engine that runs accepts, and the system of one that has ended refuses, within a
+	// round trip.
+	probeTimeout = 250 * time.Millisecond
+	// lossTTL is how long the outcome of a probe counts for further connections to the same
+	// run of an endpoint that are found to be lost.
+	lossTTL = 500 * time.Millisecond
+	// provingTime is how long an engine must go on after the first event of a call for the
+	// call not to be the cause of its end.
+	provingTime = 250 * time.Millisecond
+	// justBegun is how long an attempt may have been answering for its call to count as a
+	// possible cause of the engine's end.
+	justBegun = 500 * time.Millisecond
+	// quarantineRetryAfter is the retry time sent with a call whose prompt has a
+	// quarantined part.
+	quarantineRetryAfter = 10 * time.Second
+)
+
+var (
+	quarantined      = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: quarantineRetryAfter}
+	engineEnds       = expvar.NewInt("engine_ends")
+	abandoned        = expvar.NewInt("calls_abandoned_by_quarantine")
+	quarantinedParts = expvar.NewInt("prompt_parts_quarantined")
+	trialCalls       = expvar.NewInt("quarantine_trials")
+)
+
+// quarantineGuard observes which engines end during calls, and keeps calls away from
+// engines whose prompts have a part under which engine after engine has ended.
+type quarantineGuard struct {
+	now boottime.Clock
+	log *log.Logger
+	// changed is called when the records for other processes change.
+	changed func()
+	// mayTry reports whether this process is the one that sends trials of a part.
+	mayTry func(part core.PromptPart) bool
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	// sessions are the calls with shared parts in progress.
+	sessions map[*session]struct{}
+	losses   map[quarantine.Crash]*loss
+	// blocked are the parts that are quarantined.
+	blocked map[servicePart]bool
+	// version is the version of the tracker's records that was last passed to changed.
+	version uint64
+}
+
+// servicePart is a prompt part in calls of one service.
+type servicePart struct {
+	service core.ServiceID
+	part    core.PromptPart
+}
+
+// loss is a run of an endpoint to which connections were lost.
+type loss struct {
+	at boottime.Instant
+	// probed is closed when ended is known.
+	probed chan struct{}
+	ended  bool
+	// calls are the shared parts of the calls that may be the cause.
+	calls [][]core.PromptPart
+}
+
+func newQuarantineGuard(now boottime.Clock, logger *log.Logger) *quarantineGuard {
+	return &quarantineGuard{
+		now: now, log: logger.WithPrefix("quarantine"), changed: func() {}, mayTry: func(core.PromptPart) bool { return false },
+		tracker: quarantine.New(quarantine.Config{}), sessions: map[*session]struct{}{}, losses: map[quarantine.Crash]*loss{}, blocked: map[servicePart]bool{},
+	}
+}
+
+// admit registers a call, unless a part of its prompt is quarantined. It returns that part.
+func (q *quarantineGuard) admit(s *session) (part core.PromptPart, admitted bool) {
+	parts := s.admitted.call.SharedParts
+	if len(parts) == 0 {
+		return "", true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	if part, blocked := q.tracker.Blocked(now, s.admitted.service, parts); blocked {
+		if !q.tracker.Trial(now, s.admitted.service, part, q.mayTry(part)) {
+			return part, false
+		}
+		s.trial = true
+		trialCalls.Add(1)
+		q.log.Info("Sending one call with a quarantined part as a trial.", "request", s.admitted.call.ID, "service", s.admitted.service, "part", part)
+		q.publish(now)
+	}
+	q.sessions[s] = struct{}{}
+	return "", true
+}
+
+// leave removes a call that has ended.
+func (q *quarantineGuard) leave(s *session) {
+	if len(s.admitted.call.SharedParts) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.sessions, s)
+}
+
+// proved records that the parts of a call did not end its engine when the call began to be
+// answered.
+func (q *quarantineGuard) proved(s *session) {
+	s.provedSound = true
+	if len(s.admitted.call.SharedParts) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	q.tracker.SoundAt(now, min(s.begunAt.Add(quarantine.HarmDelay), now), s.admitted.service, s.admitted.call.SharedParts)
+	q.publish(now)
+}
+
+// mayRepeat reports whether a call whose engine has ended may be sent to another one.
+func (q *quarantineGuard) mayRepeat(s *session) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !s.trial && q.tracker.MayRepeat(q.now(), s.admitted.service, s.admitted.call.SharedParts)
+}
+
+// connectionLost records that the connection of a call's attempt ended early. It reports
+// whether the engine has ended, which a connection attempt tells.
+func (q *quarantineGuard) connectionLost(s *session) bool {
+	if len(s.admitted.call.SharedParts) == 0 {
+		return false
+	}
+	crash := quarantine.Crash{Endpoint: s.endpoint.ID, Boot: s.endpoint.Boot}
+	q.mu.Lock()
+	now := q.now()
+	found := q.lossOf(now, crash, s)
+	if s.begunAt == 0 || now.Sub(s.begunAt) < justBegun {
+		found.calls = append(found.calls, s.admitted.call.SharedParts)
+		if found.isProbed() && found.ended {
+			q.crashed(now, s.admitted.service, crash, [][]core.PromptPart{s.admitted.call.SharedParts})
+		}
+	}
+	q.mu.Unlock()
+	<-found.probed
+	return found.ended
+}
+
+// lossOf returns the loss of a run of an endpoint, and probes the endpoint unless the last
+// probe still counts. The caller must hold q.mu.
+func (q *quarantineGuard) lossOf(now boottime.Instant, crash quarantine.Crash, s *session) *loss {
+	found := q.losses[crash]
+	if found == nil || now.Sub(found.at) > lossTTL && found.isProbed() && !found.ended {
+		found = &loss{at: now, probed: make(chan struct{})}
+		q.removeOldLosses(now)
+		q.losses[crash] = found
+		go q.probe(s.admitted.service, s.endpoint, crash, found)
+	}
+	return found
+}
+
+func (l *loss) isProbed() bool {
+	select {
+	case <-l.probed:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxLossAge is how long a run of an endpoint that has ended is remembered.
+const maxLossAge = time.Minute
+
+// removeOldLosses forgets losses that no call can report any more. The caller must hold
+// q.mu.
+func (q *quarantineGuard) removeOldLosses(now boottime.Instant) {
+	for crash, l := range q.losses {
+		if now.Sub(l.at) > maxLossAge {
+			delete(q.losses, crash)
+		}
+	}
+}
+
+// probe finds out whether an endpoint has ended and records the crash.
+func (q *quarantineGuard) probe(service core.ServiceID, endpoint *fleet.Endpoint, crash quarantine.Crash, l *loss) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", endpoint.Address)
+	if err == nil {
+		conn.Close()
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l.ended = errors.Is(err, syscall.ECONNREFUSED)
+	q.log.Info("Connections to an engine were lost.", "endpoint", crash.Endpoint, "boot", crash.Boot, "ended", l.ended, "possibleCauses", len(l.calls), "parts", l.calls, "probe", err)
+	if l.ended {
+		engineEnds.Add(1)
+		q.crashed(q.now(), service, crash, l.calls)
+	}
+	close(l.probed)
+}
+
+// crashed records the calls that may have ended an engine. The caller must hold q.mu.
+func (q *quarantineGuard) crashed(now boottime.Instant, service core.ServiceID, crash quarantine.Crash, calls [][]core.PromptPart) {
+	q.tracker.Crashed(now, service, crash, calls)
+	q.publish(now)
+}
+
+// publish passes on changed records and abandons the calls that must not reach an engine
+// any more. The caller must hold q.mu.
+func (q *quarantineGuard) publish(now boottime.Instant) {
+	if q.version == q.tracker.Version() {
+		return
+	}
+	q.version = q.tracker.Version()
+	q.changed()
+	q.logTransitions(now)
+	for s := range q.sessions {
+		if s.trial || s.begun.Load() {
+			continue
+		}
+		if part, blocked := q.tracker.Blocked(now, s.admitted.service, s.admitted.call.SharedParts); blocked {
+			q.log.Info("A part of a call's prompt was quarantined; abandoning the call.", "request", s.admitted.call.ID, "part", part)
+			abandoned.Add(1)
+			s.abandon(errQuarantined)
+			delete(q.sessions, s)
+		}
+	}
+}
+
+// logTransitions logs which parts are quarantined or released. The caller must hold q.mu.
+func (q *quarantineGuard) logTransitions(now boottime.Instant) {
+	blocked := map[servicePart]bool{}
+	for _, record := range q.tracker.Records(now) {
+		key := servicePart{record.Service, record.Part}
+		if _, is := q.tracker.Blocked(now, record.Service, []core.PromptPart{record.Part}); !is {
+			continue
+		}
+		blocked[key] = true
+		if !q.blocked[key] {
+			quarantinedParts.Add(1)
+			q.log.Warn("A prompt part is quarantined: engine after engine ended under calls with it.", "service", record.Service, "part", record.Part, "crashes", record.Crashes, "trials", record.Trials)
+		}
+	}
+	for key := range q.blocked {
+		if !blocked[key] {
+			q.log.Info("A prompt part is no longer quarantined: a call with it was answered.", "service", key.service, "part", key.part)
+		}
+	}
+	q.blocked = blocked
+}
+
+// records returns the records for other processes and their version.
+func (q *quarantineGuard) records() ([]quarantine.Record, uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.Records(q.now()), q.tracker.Version()
+}
+
+// learn applies the records of another process.
+func (q *quarantineGuard) learn(records []quarantine.Record) {
+	if len(records) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	if q.tracker.Learn(now, records) {
+		q.publish(now)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -64,7 +65,14 @@
 	g.budgets.earn(a.service)
 	ctx, cancel := context.WithTimeoutCause(r.Context(), a.deadline.Sub(g.now())-answerMargin, errDeadline)
 	defer cancel()
-	s := &session{gateway: g, admitted: a, writer: w, ctx: ctx, lastEvent: call.LastEvent}
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	s := &session{gateway: g, admitted: a, writer: w, ctx: ctx, abandon: abandon, lastEvent: call.LastEvent}
+	if part, admitted := g.quarantine.admit(s); !admitted {
+		g.reject(w, call, quarantined, "route", a.route.Name, "team", a.teamName(), "part", part)
+		return
+	}
+	defer g.quarantine.leave(s)
 	s.run()
 }
 
@@ -75,6 +83,10 @@
 // errOverdue is the cancellation cause of an attempt that is moved to another endpoint.
 var errOverdue = errors.New("first byte overdue")
 
+// errQuarantined is the cancellation cause of a call whose prompt has a part that has been
+// quarantined since the call arrived.
+var errQuarantined = errors.New("part of the prompt quarantined")
+
 // errDeadline is the cancellation cause of a call whose deadline has passed.
 var errDeadline = errors.New("call deadline exceeded")
 
@@ -104,6 +116,8 @@
 	admitted *admitted
 	writer   http.ResponseWriter
 	ctx      context.Context
+	// abandon ends ctx with a cause.
+	abandon context.CancelCauseFunc
 
 	tried []fleet.EndpointID
 	// sends counts the attempts that may have run, rejectedSends those that have not.
@@ -115,8 +129,17 @@
 	events    int64
 	// endpoint is where the current attempt was sent, at sentAt. begunAt is when the
 	// attempt's first event or complete answer arrived, 0 before.
-	endpoint        fleet.EndpointID
+	endpoint        *fleet.Endpoint
 	sentAt, begunAt boottime.Instant
+	// begun is set once the call has begun to be answered. trial is set for a call with a
+	// quarantined part that is sent to find out whether the part still ends engines.
+	begun atomic.Bool
+	trial bool
+	// provedSound is set once the current attempt has shown that the call does not end its
+	// engine.
+	provedSound bool
+	// lost is set if the attempt's connection ended before the answer was complete.
+	lost bool
 }
 
 // step is the next step after an attempt.
@@ -149,6 +172,9 @@
 			return
 		}
 		next := s.attempt(ticket, decision)
+		if s.lost {
+			next = s.afterLoss(next)
+		}
 		if next == stepRetry {
 			next = s.retryStep()
 		}
@@ -165,6 +191,18 @@
 	}
 }
 
+// afterLoss reports a lost connection, and ends the call instead of a retry if its engine
+// has ended and the call may have been the cause.
+func (s *session) afterLoss(next step) step {
+	ended := s.gateway.quarantine.connectionLost(s)
+	if ended && next != stepDone && !s.gateway.quarantine.mayRepeat(s) {
+		s.gateway.log.Warn("The engine of the call ended, and the call may be the cause; it is not sent again.", "request", s.admitted.call.ID,
+			"endpoint", s.endpoint.ID, "boot", s.endpoint.Boot, "parts", s.admitted.call.SharedParts, "sends", s.sends)
+		return stepUnknown
+	}
+	return next
+}
+
 // retryStep returns stepRetry if the call may be sent once more, and otherwise the step
 // that ends it.
 func (s *session) retryStep() step {
@@ -187,17 +225,26 @@
 
 // notPlaced ends a call that was not placed.
 func (s *session) notPlaced(decision placement.Decision) {
-	if s.sends > 0 || s.headSent {
-		s.fail(core.ReasonNoEndpoint)
-		return
-	}
 	reason := decision.Reason
-	if decision.Verdict != placement.Reject {
+	switch {
+	case s.quarantined():
+		reason = core.ReasonQuarantined
+	case s.sends > 0 || s.headSent:
+		reason = core.ReasonNoEndpoint
+	case decision.Verdict != placement.Reject:
 		reason = core.ReasonDeadline
 	}
+	if s.sends > 0 || s.headSent {
+		s.fail(reason)
+		return
+	}
 	s.rejectNotRun(reason, decision)
 }
 
+// quarantined reports whether a part of the call's prompt has been quarantined since the
+// call arrived.
+func (s *session) quarantined() bool { return errors.Is(context.Cause(s.ctx), errQuarantined) }
+
 // minRetryAfter is the minimum retry time sent with a call that has not run.
 const minRetryAfter = 200 * time.Millisecond
 
@@ -206,9 +253,11 @@
 		s.callerDisconnected()
 		return
 	}
-	s.gateway.reject(s.writer, s.admitted.call, &rejection{
-		status: http.StatusServiceUnavailable, reason: reason, retryAfter: max(decision.RetryAfter, minRetryAfter),
-	}, "route", s.admitted.route.Name, "team", s.admitted.teamName(), "waitedMs", decision.Waited.Milliseconds(),
+	rejected := &rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: max(decision.RetryAfter, minRetryAfter)}
+	if s.quarantined() {
+		rejected = quarantined
+	}
+	s.gateway.reject(s.writer, s.admitted.call, rejected, "route", s.admitted.route.Name, "team", s.admitted.teamName(), "waitedMs", decision.Waited.Milliseconds(),
 		"candidates", decision.Candidates, "sends", s.rejectedSends)
 }
 
@@ -218,6 +267,9 @@
 		s.callerDisconnected()
 		return
 	}
+	if s.quarantined() {
+		reason = core.ReasonQuarantined
+	}
 	if s.headSent {
 		s.gateway.log.Warn("Answer interrupted; aborting the connection to the caller.", "request", s.admitted.call.ID, "reason", reason, "events", s.events, "sends", s.sends)
 		outcomes.Add("cut", 1)
@@ -254,7 +306,7 @@
 		Start: func() (time.Duration, bool) { return s.remaining(), g.scheduler.mayStart(ticket) },
 	}
 	sent := g.now()
-	s.endpoint, s.sentAt, s.begunAt = endpoint.ID, sent, 0
+	s.endpoint, s.sentAt, s.begunAt, s.lost, s.provedSound = endpoint, sent, 0, false, false
 	answer, err := g.pool.Do(g.scheduler.attempt(s.ctx, ticket), g.dialect, attempt, s.admitted.route.Retryable())
 	if err != nil {
 		return s.attemptFailed(ticket, decision, err)
@@ -283,6 +335,12 @@
 		outcome = placement.OutcomeCanceled
 	}
 	g.scheduler.ended(ticket, outcome)
+	if outcome == placement.OutcomeAnswered && answer.Status < http.StatusMultipleChoices && !s.provedSound {
+		if s.begunAt == 0 {
+			s.begunAt = g.now()
+		}
+		g.quarantine.proved(s)
+	}
 	g.log.Info("Attempt ended.", "request", s.admitted.call.ID, "route", s.admitted.route.Name, "endpoint", endpoint.ID,
 		"status", answer.Status, "ending", outcome, "events", s.events, "patienceMs", s.admitted.call.Timeout.Milliseconds(), "returned", s.admitted.retried, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds(),
@@ -319,6 +377,8 @@
 		outcome = placement.OutcomeCanceled
 	case errors.Is(err, errOverdue):
 		outcome = placement.OutcomeOverdue
+	default:
+		s.lost = !notSent
 	}
 	if notSent {
 		s.rejectedSends++
--- a/peers/declarations.go
+++ b/peers/declarations.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"math"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/peerpb"
@@ -16,8 +15,7 @@
 func EncodeAges(model string, ages []rollout.Age) []*peerpb.DeclarationAge {
 	var encoded []*peerpb.DeclarationAge
 	for _, age := range ages {
-		ms := min(max(age.Age.Milliseconds(), 0), math.MaxUint32)
-		encoded = append(encoded, &peerpb.DeclarationAge{Model: model, Version: age.Version, AgeMs: uint32(ms)})
+		encoded = append(encoded, &peerpb.DeclarationAge{Model: model, Version: age.Version, AgeMs: milliseconds(age.Age)})
 	}
 	return encoded
 }
