A stream without a length is not complete if its engine has ended

Callers would see a stream that looks complete and lacks its last events: without a length and chunks, an engine whose process ends between two events closes the connection as at the end of a stream.

Now the gateway asks the engine's address before it takes such an end for the end of the stream; a refused connection means that the engine has ended, and the stream is resumed or cut.

Evidence: TestAStreamOfAnEngineThatEndedBetweenTwoEventsIsResumed passes; without the question the stream is passed on as complete after its first event.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -112,9 +112,10 @@
 }
 
 // endsComplete reports whether a stream that has ended between two events is complete. A
-// closed connection without an event is no stream.
+// closed connection without an event is no stream. Without a length and chunks, the end of an
+// engine between two events looks like the end of the stream.
 func (s *session) endsComplete(answer *forward.Answer) bool {
-	return answer.Framed || s.begunAt != 0
+	return answer.Framed || s.begunAt != 0 && !s.gateway.quarantine.engineEnded(s)
 }
 
 // maxEvents returns the maximum number of events that are passed on for the call.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -66,9 +66,10 @@
 
 // backend answers with a function and counts the requests that it ran.
 type backend struct {
-	address string
-	mu      sync.Mutex
-	ran     map[string]int
+	address  string
+	listener net.Listener
+	mu       sync.Mutex
+	ran      map[string]int
 }
 
 func (b *backend) runs(id string) int {
@@ -82,7 +83,7 @@
 	b := &backend{ran: map[string]int{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	b.address = listener.Addr().String()
+	b.address, b.listener = listener.Addr().String(), listener
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
 		b.mu.Lock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -163,6 +163,15 @@
 	return found.ended
 }
 
+// engineEnded reports whether the engine of a call's attempt has ended.
+func (q *quarantineGuard) engineEnded(s *session) bool {
+	q.mu.Lock()
+	found := q.lossOf(q.now(), quarantine.Crash{Endpoint: s.endpoint.ID, Boot: s.endpoint.Boot}, s)
+	q.mu.Unlock()
+	<-found.probed
+	return found.ended
+}
+
 // lossOf returns the loss of a run of an endpoint, and probes the endpoint unless the last
 // probe still counts. The caller must hold q.mu.
 func (q *quarantineGuard) lossOf(now boottime.Instant, crash quarantine.Crash, s *session) *loss {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -165,3 +165,29 @@
 		}
 	}
 }
+
+// The engine's process ends between two events; its connections are closed and not reset.
+func TestAStreamOfAnEngineThatEndedBetweenTwoEventsIsResumed(t *testing.T) {
+	g := NewWithT(t)
+	var crashing *backend
+	crashing = newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		crashing.listener.Close()
+		answerAndEnd(unframedHead+firstEvent, closed)(w, r)
+	})
+	address, _ := startRoute(t, "streaming", true, crashing)
+	_, _, err := askWith(g, address, "id", nil)
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF), "there is no engine to resume at")
+
+	crashing = newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		crashing.listener.Close()
+		answerAndEnd(unframedHead+firstEvent, closed)(w, r)
+	})
+	other := newBackend(t, func(w http.ResponseWriter, r *http.Request) { events(w, r, 3, 0) })
+	address, _ = startRoute(t, "streaming", true, crashing, other)
+	for i := range 10 {
+		_, body, err := askWith(g, address, fmt.Sprint("call", i), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal(threeEvents))
+	}
+	g.Expect(len(crashing.ran)).To(BeNumerically("<=", 1))
+}
