Test that no other version is chosen before an order is accepted

With the check of StagingInUse left out of selectVersion all tests passed, since the gate holds the writes; the loop of the updater then waits for its own gate if chunks of the newer version are cached. The test fails with that change.

--- a/agent/staging_test.go
+++ b/agent/staging_test.go
@@ -48,6 +48,8 @@
 	orders   int
 	accepted []core.VersionID
 	broken   []string
+	// chosen is the version of the last SetManifest.
+	chosen core.VersionID
 	// notAfter is the latest permitted time of the last order.
 	notAfter boottime.Instant
 }
@@ -62,7 +64,11 @@
 	return report, nil
 }
 
-func (e *singleCopyEngine) SetManifest(*core.Manifest) {}
+func (e *singleCopyEngine) SetManifest(manifest *core.Manifest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.chosen = manifest.Version
+}
 
 func (e *singleCopyEngine) Put(ctx context.Context, version core.VersionID, index int, data []byte) error {
 	done := make(chan struct{})
@@ -253,6 +259,21 @@
 	g.Expect(e.brokenLoads()).To(BeEmpty())
 }
 
+// An agent that stages another version meanwhile waits for its own gate.
+func TestNoOtherVersionIsChosenBeforeTheEngineHasAcceptedAnOrder(t *testing.T) {
+	g := NewWithT(t)
+	e := newSingleCopyEngine()
+	e.onOrder = func(int) (time.Duration, bool, error) { return time.Second, false, nil }
+	address := startFor(t, e)
+	gw := follow(t, address, "gw", "r")
+	gw.declare(t, 2, address)
+	g.Eventually(e.ordered, 5*time.Second, time.Millisecond).Should(Equal(1))
+	chosen := func() core.VersionID { e.mu.Lock(); defer e.mu.Unlock(); return e.chosen }
+	gw.declare(t, 3, address)
+	g.Consistently(chosen, 700*time.Millisecond, 10*time.Millisecond).Should(Equal(core.VersionID("m/2")))
+	g.Eventually(chosen, 5*time.Second, 10*time.Millisecond).Should(Equal(core.VersionID("m/3")))
+}
+
 // The answer to the order is lost, the engine accepts it a little later, and a newer version
 // is declared meanwhile.
 func TestNoChunkIsWrittenWhileTheFateOfAnOrderIsUnknown(t *testing.T) {
