--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -45,11 +45,6 @@
 	// memberSenders is how many gateways of a region send an agent the list of machines
 	// that serve the same model.
 	memberSenders = 2
-	// recordHubs is how many agents a gateway sends its records of prompt parts to.
-	recordHubs = 3
-	// recordRepeat is how often unchanged records are sent to an agent, since agents and
-	// gateways ignore records that may have waited while they were suspended.
-	recordRepeat = time.Second
 )
 
 // agents keeps a stream to the agent of each engine of the deployment.
@@ -370,43 +365,6 @@
 	return message, link.changed
 }
 
-// sentNews is what has been sent on one stream.
-type sentNews struct {
-	*peerpb.GatewayNews
-	// records is the version of the quarantine's records.
-	records   uint64
-	recordsAt time.Time
-}
-
-// sendsRecords reports whether an agent is one of the recordHubs agents to which this
-// process sends records of prompt parts. Each agent passes them on to all gateways. They are
-// chosen by rendezvous hashing.
-func (a *agents) sendsRecords(link *agentLink) bool {
-	before := 0
-	own := xxh3.HashString(a.name + link.address)
-	for address, other := range a.current {
-		if other.connected && xxh3.HashString(a.name+address) < own {
-			before++
-		}
-	}
-	return before < recordHubs
-}
-
-// mayTry reports whether this process is the gateway that sends the trials of a prompt
-// part, chosen by rendezvous hashing among the gateways that agents know.
-func (a *agents) mayTry(part core.PromptPart) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	self := a.gateway.config.Relay.Listen
-	own := xxh3.HashString(string(part) + self)
-	for _, m := range a.relays {
-		if m.GetAddress() != self && xxh3.HashString(string(part)+m.GetAddress()) < own {
-			return false
-		}
-	}
-	return true
-}
-
 // sendsMembers reports whether this process is one of the memberSenders gateways of its
 // region that send an agent the list of machines serving the same model. They are
 // chosen by rendezvous hashing, so that not every gateway sends the list.
