Random schedules of staging, verification and orders of an engine that checks nothing

An engine holds one unchecked copy of each chunk and takes what is staged when it accepts an order. The schedules run the real state machine and a model of the updater, the staging gate and the spreader under virtual time: chunks rot, the VM stands still for 0.1 to 8 s, orders are refused, accepted up to 0.9 s late or lose their answers, writes and reports are slow or lost, the engine crashes with another boot, versions are declared in quick succession and the choice goes back and forth. Each seed draws which kinds of faults occur and how often. Checked: no order is accepted on a chunk that isn't of the ordered version or turned bad over 3 s before; the newest version is loaded within 8 s after the faults.

- A status that was read before the result of an order and arrives after it makes the machine order again; a later status then counts as acceptance of that order and releases the staging while the order is on its way (22269, 27893, 48965).
- An order that reaches the engine's next boot and whose answer is lost doesn't keep the staging, since mayStillAccept compares the boot (41023, 43917).

Nothing is mended here.

--- a/activation/count_test.go
+++ b/activation/count_test.go
@@ -3,6 +3,7 @@
 package activation
 
 const (
-	scheduleCount  = 200
-	naiveSchedules = 100
+	scheduleCount        = 200
+	naiveSchedules       = 100
+	stagingScheduleCount = 3000
 )
