A previous version that stalls while it is staged gives way to the newest

Cause: once the newest version counted as stalled, which it also does when nobody fetches it, an incomplete previous one was chosen without regard to its own stall.

Evidence: TestAStalledPreviousVersionGivesWayToTheNewest failed before and passes.

--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -60,7 +60,8 @@
 // version ends. If all endpoints completed each version, every endpoint would wait for
 // its running calls twice. An endpoint therefore completes a previous version only if
 // enough of it is present or the newest one is stalled, and loads it only if it may
-// switch and the newest one is not expected soon.
+// switch and the newest one is not expected soon. A previous version that stalls as well
+// gives way, since the origin may have dropped it.
 func (c Choice) Stage() int64 {
 	newest := &c.Pending[len(c.Pending)-1]
 	if newest.Share >= 1 {
@@ -74,7 +75,7 @@
 	switch {
 	case previous == nil:
 		return newest.Version
-	case previous.Share < 1 && (minShare == 0 || !previous.stalled(c.Now)):
+	case previous.Share < 1 && c.mayBeHad(previous, newest):
 		return previous.Version
 	case previous.Share >= 1 && c.loadsPreviousFirst(newest):
 		return previous.Version
@@ -82,6 +83,13 @@
 	return newest.Version
 }
 
+// mayBeHad reports whether an incomplete previous version is expected to become complete. If
+// the newest one stalls, each gets its turn until a chunk of it arrives.
+func (c Choice) mayBeHad(previous, newest *Pending) bool {
+	isStaged := newest.ChosenAt.Before(previous.ChosenAt)
+	return !previous.stalled(c.Now) || newest.stalled(c.Now) && !isStaged
+}
+
 // bestPrevious returns the version before the newest with the largest share of chunks
 // present, and nil if none has a share above zero and of at least minShare.
 func (c Choice) bestPrevious(minShare float64) *Pending {
