--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -45,8 +45,8 @@
 	trialCalls       = expvar.NewInt("quarantine_trials")
 )
 
-// quarantineGuard observes which engines end during calls, and keeps calls away from
-// engines whose prompts have a part under which engine after engine has ended.
+// quarantineGuard observes which engines end during calls. It rejects calls whose prompts
+// have a part under which engine after engine has ended, before they reach an engine.
 type quarantineGuard struct {
 	now boottime.Clock
 	log *log.Logger
