Log under which limit and grant a call was placed

'Attempt ended' and 'Attempt failed' now carry startLimit, starts, granted and grantAgeMs. No change of what is placed where: the computation of the limit moved into coldLimit. go test ./placement passes.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -344,6 +344,7 @@
 	g.log.Info("Attempt ended.", "request", s.admitted.call.ID, "route", s.admitted.route.Name, "endpoint", endpoint.ID,
 		"status", answer.Status, "ending", outcome, "events", s.events, "patienceMs", s.admitted.call.Timeout.Milliseconds(), "returned", s.admitted.retried, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds(),
+		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "ranOn", answer.Classification.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision),
 		"begunMs", s.begunMs(), "parts", s.admitted.call.SharedParts,
 		"prompt", s.admitted.call.PromptTokens, "output", s.admitted.call.OutputTokens, "maxOutput", s.admitted.call.MaxOutputTokens)
@@ -389,6 +390,7 @@
 	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent, "outcome", outcome,
 		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", s.admitted.call.SharedParts,
 		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(),
+		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision), "err", err)
 	if withdrawn && s.ctx.Err() == nil && s.rejectedSends < maxRejectedSends {
 		return stepRetryApproved // nothing reached an endpoint, so no retry budget is used
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -115,18 +115,25 @@
 // cold rate in the last second. The limit applies to warm endpoints as well, since an
 // endpoint may become cold at any moment.
 func (p *Placer) coldLimitReached(now boottime.Instant, e *endpointState) bool {
+	limit, limited := p.coldLimit(now, e)
+	return limited && e.cold.count(now) >= limit
+}
+
+// coldLimit returns how many calls this process may place on an endpoint within a second.
+// It returns false if the endpoint has no cold rate.
+func (p *Placer) coldLimit(now boottime.Instant, e *endpointState) (limit int, limited bool) {
 	if e.backend == nil || e.backend.ColdRate <= 0 {
-		return false
+		return 0, false
 	}
 	share := p.config.ColdShare
 	if e.divided(now) {
 		if e.status.Granted == 0 {
-			return true
+			return 0, true
 		}
 		share = float64(e.status.Granted) / float64(e.Slots)
 	}
 	bound := (e.backend.ColdRate*p.config.ColdOver + p.config.ColdSlack) * share
-	return e.cold.count(now) >= max(int(bound), 1)
+	return max(int(bound), 1), true
 }
 
 // mayBecomeEligible reports whether an endpoint that cannot run the request now may be
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -237,8 +237,21 @@
 		ticket.decision.Weights = e.version(now)
 		ticket.decision.NewestWeights, ticket.decision.SupersededFor = p.supersededFor(now, e, ticket.decision.Weights)
 	}
+	p.recordLimits(now, ticket, e)
 	ticket.endpoint, ticket.sentAt = e, now
 	e.open[ticket] = struct{}{}
 	e.sentSince++
 	e.cold.add(now)
 }
+
+// recordLimits records in a ticket's decision which limits allowed it.
+func (p *Placer) recordLimits(now boottime.Instant, ticket *Ticket, e *endpointState) {
+	d := &ticket.decision
+	d.StartLimit, d.Starts, d.Granted, d.GrantAge = -1, e.cold.count(now), -1, 0
+	if limit, limited := p.coldLimit(now, e); limited {
+		d.StartLimit = limit
+	}
+	if e.divided(now) {
+		d.Granted, d.GrantAge = e.status.Granted, now.Sub(e.status.At)
+	}
+}
--- a/placement/request.go
+++ b/placement/request.go
@@ -74,6 +74,12 @@
 	// newer. SupersededFor is how long ago a newer version was declared, -1 if unknown.
 	Weights, NewestWeights int64
 	SupersededFor          time.Duration
+	// StartLimit is how many calls this process could place on the endpoint within a
+	// second, -1 if they are not limited, and Starts how many it had placed there in the
+	// last one. Granted is the number of slots that the endpoint's agent had granted to
+	// this process, -1 for none, as of GrantAge ago.
+	StartLimit, Starts, Granted int
+	GrantAge                    time.Duration
 	// Waited is the time spent in the queue.
 	Waited time.Duration
 	// Candidates is the number of eligible endpoints.
