--- a/gateway/engines_test.go
+++ b/gateway/engines_test.go
@@ -90,6 +90,13 @@
 
 // newStandInEngine starts an engine on an address with its weights loaded and staged.
 func newStandInEngine(t *testing.T, name, address string, store *liveStore, record *engineRecord, crashes crashBehavior) *standInEngine {
+	t.Helper()
+	return newStandInEngineOf(t, name, address, engineVersion, store, record, crashes)
+}
+
+// newStandInEngineOf starts an engine with staged weights that has loaded a version, 0 for
+// none.
+func newStandInEngineOf(t *testing.T, name, address string, loaded int64, store *liveStore, record *engineRecord, crashes crashBehavior) *standInEngine {
 	t.Helper()
 	g := NewWithT(t)
 	e := &standInEngine{
@@ -100,7 +107,7 @@
 	for chunk := range engineChunks {
 		g.Expect(e.Put(context.Background(), version, chunk, chunkOf(version, chunk))).To(Succeed())
 	}
-	e.start(engineVersion)
+	e.start(loaded)
 	t.Cleanup(e.stop)
 	return e
 }
@@ -295,6 +302,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.engine.record.reached(r.engine.name, id)
 	if !r.takeSlot(request) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -307,6 +315,7 @@
 		time.AfterFunc(crashDelay, r.crash)
 	}
 	r.answer(w, request)
+	r.engine.record.answered(r.engine.name)
 }
 
 // holdsHarmfulPart reports whether a part other than the last is harmfulPart.
@@ -413,9 +422,40 @@
 	// harmful are the arrivals of calls with harmfulPart. begins are the starts of answers to
 	// other calls at the first engine that each reached.
 	harmful, crashes, begins []time.Time
+	// arrivals are the calls that reached each engine and were not misdirected, answers the
+	// ends of its answers, by the engine's name.
+	arrivals map[string][]arrival
+	answers  map[string][]time.Time
+}
+
+// arrival is the arrival of a call at an engine.
+type arrival struct {
+	at time.Time
+	id string
+}
+
+func newEngineRecord() *engineRecord {
+	return &engineRecord{seen: map[string]bool{}, arrivals: map[string][]arrival{}, answers: map[string][]time.Time{}}
+}
+
+func (c *engineRecord) reached(engine, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals[engine] = append(c.arrivals[engine], arrival{at: time.Now(), id: id})
 }
 
-func newEngineRecord() *engineRecord { return &engineRecord{seen: map[string]bool{}} }
+func (c *engineRecord) answered(engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[engine] = append(c.answers[engine], time.Now())
+}
+
+// at returns the arrivals at an engine and the ends of its answers.
+func (c *engineRecord) at(engine string) (arrivals []arrival, answers []time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.arrivals[engine]), slices.Clone(c.answers[engine])
+}
 
 // arrived records an arrival and reports whether the call has not reached any engine
 // before.
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -136,8 +136,20 @@
 	engineCount  = 8
 )
 
+// fleetConfig configures a testFleet.
+type fleetConfig struct {
+	declaration       string
+	engines, gateways int
+	// coldOver, coldSlack and coldShare are the gateways' bounds for cold engines.
+	coldOver, coldSlack, coldShare float64
+}
+
+var usualFleet = fleetConfig{declaration: engineDeclaration, engines: engineCount, gateways: gatewayCount, coldShare: 1}
+
 // testFleet is a deployment of stand-in engines with real gateways and agents.
 type testFleet struct {
+	config   fleetConfig
+	port     int
 	store    *liveStore
 	engines  []*standInEngine
 	gateways []string
@@ -148,21 +160,25 @@
 }
 
 func startFleet(t *testing.T) *testFleet {
+	t.Helper()
+	return startFleetOf(t, usualFleet)
+}
+
+func startFleetOf(t *testing.T, config fleetConfig) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &testFleet{store: newLiveStore(), record: newEngineRecord(), ctx: ctx}
+	f := &testFleet{config: config, port: freePorts(t), store: newLiveStore(), record: newEngineRecord(), ctx: ctx}
 	t.Cleanup(func() {
 		cancel()
 		f.processes.Wait()
 	})
-	f.store.put("op/config", []byte(engineDeclaration))
+	f.store.put("op/config", []byte(config.declaration))
 	f.store.put("op/version/"+engineModel, fmt.Appendf(nil, `{"model":%q,"version":%d}`, engineModel, engineVersion))
-	port := freePorts(t)
-	for i := range engineCount {
-		f.startEngine(t, i, port)
+	for i := range config.engines {
+		f.startEngine(t, i, engineVersion)
 	}
-	for i := range gatewayCount {
-		f.startGateway(t, i, port)
+	for i := range config.gateways {
+		f.startGateway(t, i)
 	}
 	return f
 }
@@ -208,12 +224,14 @@
 
 func address(host, port int) string { return net.JoinHostPort(loopbackIP(host), strconv.Itoa(port)) }
 
-// startEngine starts a stand-in engine and its agent.
-func (f *testFleet) startEngine(t *testing.T, index, port int) {
+// startEngine starts a stand-in engine with the weights of a version, 0 for none, and its
+// agent.
+func (f *testFleet) startEngine(t *testing.T, index int, version int64) *standInEngine {
 	t.Helper()
 	g := NewWithT(t)
+	port := f.port
 	host, agentPort := index+1, port+1
-	e := newStandInEngine(t, "e"+strconv.Itoa(index), address(host, port), f.store, f.record, crashBehavior{
+	e := newStandInEngineOf(t, "e"+strconv.Itoa(index), address(host, port), version, f.store, f.record, crashBehavior{
 		downTime: time.Duration(600+50*index) * time.Millisecond, keepsID: index%2 == 0, resets: index%4 < 2,
 	})
 	f.engines = append(f.engines, e)
@@ -223,16 +241,21 @@
 	}, e, e, e, chunkOrigin{}, peers.NewPool("", peers.Security{}), logging.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
 	f.run(t, a.Run)
+	return e
 }
 
-func (f *testFleet) startGateway(t *testing.T, index, port int) {
+func (f *testFleet) startGateway(t *testing.T, index int) {
 	t.Helper()
 	g := NewWithT(t)
+	port := f.port
 	host := engineCount + index + 1
 	callers, ready := address(host, port), address(host, port+1)
 	regions := map[core.ZoneID]core.RegionID{"z": "r"}
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
-	placer := placement.New(placement.Config{Zone: "z", Region: "r", ColdShare: 1, VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, uint64(index)))})
+	placer := placement.New(placement.Config{
+		Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack, ColdShare: f.config.coldShare,
+		VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, uint64(index))),
+	})
 	gw, err := gateway.New(gateway.Config{
 		Name: core.VMID("gateway-" + strconv.Itoa(index)), CallerListen: callers, ReadyListen: ready, AgentPort: port + 1, Regions: regions,
 		MaxKeyAge: 2 * time.Second, MaxDeclarationAge: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 10,
@@ -259,8 +282,9 @@
 
 // callResult is what a caller saw of its only attempt.
 type callResult struct {
-	sentAt  time.Time
-	harmful bool
+	id, gateway string
+	sentAt      time.Time
+	harmful     bool
 	// status is 0 without an answer. complete is set for a signed answer with all events.
 	status   int
 	complete bool
@@ -313,14 +337,14 @@
 }
 
 func (c *callers) call(target string, harmful bool) {
-	result := callResult{sentAt: time.Now(), harmful: harmful}
+	result := callResult{id: fmt.Sprintf("%016x", rand.Uint64()), gateway: target, sentAt: time.Now(), harmful: harmful}
 	request, err := http.NewRequest(http.MethodPost, "http://"+target+"/a/x", strings.NewReader("body"))
 	if err != nil {
 		panic(err)
 	}
 	request.Host = "h"
 	for name, value := range map[string]string{
-		"X-Request-Id": fmt.Sprintf("%016x", rand.Uint64()), "X-Timeout-Ms": "4000", "Authorization": "Bearer key",
+		"X-Request-Id": result.id, "X-Timeout-Ms": "4000", "Authorization": "Bearer key",
 		"X-Model": engineModel, "X-Token-Count": "650,100", "X-Prompt-Prefix": prompt(harmful),
 	} {
 		request.Header.Set(name, value)
