A call is sent to a cold endpoint only under a lease of its agent

Cause: while an engine's agent had granted no slots, each gateway took a twelfth of the bound, two calls, whatever the number of gateways. No gateway wanted slots of an engine without weights, so that every new engine was in this state at all gateways at once. With grants, a slot that moved within a second, a grant that a gateway could no longer renew (30 s, against 3 s at the agent), calls placed over seconds and sent in one, and an entry that was gone for a moment each let the same bound be used twice.

Why it works: the agent leases call starts per second (startquota). The sum of what gateways hold, or may still use, or have used within the last second, stays within the bound; a lease ends 3 s after the gateway sent the message that it answers, on the clock that counts suspensions, and at the end of the stream. A gateway without a lease sends nothing. A call counts when it is sent, asked again when its connection is open; the count outlives the endpoint's entry. Slots of an engine are divided before it has weights.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/zinniaseam/zinniaseam/quarantine"
 	"github.com/zinniaseam/zinniaseam/rollout"
 	"github.com/zinniaseam/zinniaseam/slotshare"
+	"github.com/zinniaseam/zinniaseam/startquota"
 	"github.com/zinniaseam/zinniaseam/transfer"
 )
 
@@ -111,8 +112,10 @@
 	changed chan struct{}
 	// followers are the gateways that follow the agent.
 	followers map[*follower]struct{}
-	// divider divides the engine's slots among followers.
+	// divider divides the engine's slots among followers, quota the calls that it may
+	// receive within a second.
 	divider *slotshare.Divider
+	quota   *startquota.Quota
 	// switchAt is the time of the planned weight switch, 0 if none is planned.
 	switchAt boottime.Instant
 	// declared are the declared versions of each model. declaredChanges counts the changes
@@ -122,6 +125,8 @@
 	// promptParts are the parts of prompts under which engines ended.
 	promptParts *quarantine.Tracker
 	pauses      *boottime.PauseDetector
+	// boot is the start time of the engine as of the last successful poll, 0 before it.
+	boot int64
 	// failedPolls is the number of consecutive status polls that failed.
 	failedPolls int
 }
@@ -131,7 +136,7 @@
 	a := &Agent{
 		config: config, engine: engine, log: logger.WithPrefix("agent"), pool: pool,
 		status: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
-		divider: slotshare.NewDivider(config.EngineAddress), followers: map[*follower]struct{}{},
+		divider: slotshare.NewDivider(config.EngineAddress), quota: startquota.New(boottime.Now()), followers: map[*follower]struct{}{},
 		declared: map[string]*rollout.Declarations{}, promptParts: quarantine.New(quarantine.Config{}), pauses: boottime.NewPauseDetector(boottime.Now),
 	}
 	gate := newStagingGate(staging, config.StartSettle)
@@ -220,9 +225,14 @@
 	if a.status.GetUnreachable() {
 		a.log.Info("The engine responds.", "boot", report.Boot, "weights", report.Weights)
 	}
+	version := completeVersion(report, a.updater.layers())
+	if a.boot != report.Boot && (a.boot != 0 || version == 0) {
+		a.quota.SetAlone()
+	}
+	a.boot = report.Boot
 	next := &peerpb.EngineNews{
 		Engine: a.config.EngineAddress, Boot: report.Boot, Running: uint32(report.Running), Waiting: uint32(report.Waiting),
-		Loading: report.Loading, Version: completeVersion(report, a.updater.layers()),
+		Loading: report.Loading, Version: version,
 	}
 	if !sameStatus(a.status, next) {
 		a.publish(next)
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/slotshare"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// unchangedLoadWait is how long a follower waits for a change of the status when the
 	// load has been reported already.
 	unchangedLoadWait = time.Hour
+	// leaseRenewal is how often a gateway that holds a lease of call starts is sent a
+	// status, which renews it.
+	leaseRenewal = time.Second
 	// relaysInterval batches changes of the relays, since many gateways may start at
 	// once.
 	relaysInterval = 400 * time.Millisecond
@@ -34,8 +38,10 @@
 // follower is one gateway that follows the agent.
 type follower struct {
 	agent *Agent
-	// gateway and region are its name and region, set by its first message.
+	// gateway and region are its name and region, and process identifies the process, set
+	// by its first message.
 	gateway, region string
+	process         uint64
 	// relay is the gateway as a member of the spread, nil if it stores no chunks.
 	relay *peerpb.FleetMember
 	// sent is the last status sent to it, at sentAt; sentRelays and relaysSentAt are
@@ -89,13 +95,22 @@
 	f.agent.followers[f] = struct{}{}
 }
 
-// leave removes the gateway. If the gateway already follows on a newer stream, its next
-// message there adds it to the division of slots again.
+// follows reports whether a gateway has an open stream. The caller must hold a.mu.
+func (a *Agent) follows(gateway string) bool {
+	for f := range a.followers {
+		if f.gateway == gateway {
+			return true
+		}
+	}
+	return false
+}
+
+// leave removes the gateway, unless it already follows on a newer stream.
 func (f *follower) leave() {
 	a := f.agent
 	a.mu.Lock()
 	delete(a.followers, f)
-	if f.gateway != "" {
+	if f.gateway != "" && !a.follows(f.gateway) {
 		a.divider.Remove(f.gateway)
 	}
 	if f.relay != nil {
@@ -152,10 +167,14 @@
 		f.echo, f.echoAt = message.GetSentMs(), boottime.Now()
 	}
 	if message.GetGateway() != "" {
-		f.gateway, f.region = message.GetGateway(), message.GetRegion()
+		f.gateway, f.region, f.process = message.GetGateway(), message.GetRegion(), message.GetProcess()
 	}
 	if slots := message.GetFleet().GetSlots(); slots > 0 {
 		a.divider.SetSlots(int(slots))
+		a.quota.SetLimit(int(message.GetFleet().GetMaxStarts()), int(slots))
+	}
+	if f.gateway != "" && message.GetSentMs() != 0 {
+		a.quota.Seen(boottime.Now(), f.gateway, startquota.Report{Process: f.process, Number: message.GetLeaseNumber(), Sent: int(message.GetStartsSent())})
 	}
 	if demand := message.GetWant(); demand != nil && f.gateway != "" {
 		a.divider.SetDemand(boottime.Now(), f.gateway, slotshare.Demand{Calls: float64(demand.GetCalls()), Open: int(demand.GetOpen())})
@@ -182,6 +201,8 @@
 	if granted, counted := a.divider.Granted(f.gateway); counted {
 		status.Divided, status.Granted = true, uint32(granted)
 	}
+	lease := a.quota.Lease(f.gateway)
+	status.Starts, status.LeaseNumber, status.Gateways = uint32(lease.Starts), lease.Number, uint32(a.quota.Gateways())
 	if a.switchAt != 0 {
 		status.ClosesInMs = uint32(max(a.switchAt.Sub(boottime.Now()).Milliseconds(), 1))
 	}
@@ -220,6 +241,8 @@
 		return true
 	case (sent.GetClosesInMs() == 0) != (status.GetClosesInMs() == 0):
 		return true
+	case sent.GetLeaseNumber() != status.GetLeaseNumber() || status.GetStarts() > 0 && now.Sub(f.sentAt) >= leaseRenewal:
+		return true
 	}
 	return sent.GetUnreachable() != status.GetUnreachable() || sent.GetBoot() != status.GetBoot() || sent.GetLoading() != status.GetLoading() ||
 		sent.GetVersion() != status.GetVersion() || sent.GetDivided() != status.GetDivided() || sent.GetGranted() != status.GetGranted()
@@ -236,6 +259,9 @@
 func (f *follower) untilLoadReport() time.Duration {
 	f.agent.mu.Lock()
 	defer f.agent.mu.Unlock()
+	if f.sent.GetStarts() > 0 {
+		return max(min(f.loadInterval(), leaseRenewal)-time.Since(f.sentAt), minStatusInterval)
+	}
 	if f.sent != nil && !f.agent.switchPending() && f.sent.GetRunning() == f.agent.status.GetRunning() && f.sent.GetWaiting() == f.agent.status.GetWaiting() {
 		return unchangedLoadWait
 	}
@@ -246,7 +272,13 @@
 func (a *Agent) divideSlots() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.divider.Divide(boottime.Now()) {
+	now := boottime.Now()
+	divided := a.divider.Divide(now)
+	renewed := a.quota.Divide(now, func(gateway string) int {
+		slots, _ := a.divider.Granted(gateway)
+		return slots
+	})
+	if divided || renewed {
 		a.publish(a.status)
 	}
 }
--- a/experiment/placing/experiment.go
+++ b/experiment/placing/experiment.go
@@ -58,6 +58,7 @@
 	Share    float64 `json:"share"`
 	Total    Count   `json:"total"`
 	Queued   float64 `json:"queuedInEngines"`
+	Starts   int     `json:"maxStartsPerSecond"`
 	Borrowed int     `json:"borrowed"`
 }
 
@@ -89,16 +90,16 @@
 func row(scenario Scenario, mode SharingMode, tally *Tally) Row {
 	return Row{
 		Scenario: scenario.Name, Gateways: len(scenario.GatewayShares), Way: mode.Name,
-		Share: tally.Total.Share(), Total: tally.Total, Queued: tally.QueuedShare(), Borrowed: tally.Borrowed,
+		Share: tally.Total.Share(), Total: tally.Total, Queued: tally.QueuedShare(), Starts: tally.MaxStarts, Borrowed: tally.Borrowed,
 	}
 }
 
 func printRows(options experiment.Options, rows []Row) error {
 	w := tabwriter.NewWriter(options.Out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "load\tgateways\tslots\tworth\tasked\ton time\tlate\trefused\tagain\tqueued in engines\tborrowed")
+	fmt.Fprintln(w, "load\tgateways\tslots\tworth\tasked\ton time\tlate\trefused\tagain\tqueued in engines\tstarts/s\tborrowed")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%d\t%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\n", r.Scenario, r.Gateways, r.Way, r.Share,
-			r.Total.Asked, r.Total.OnTime, r.Total.Late, r.Total.Refused, r.Total.RefusedAgain, r.Queued, r.Borrowed)
+		fmt.Fprintf(w, "%s\t%d\t%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\n", r.Scenario, r.Gateways, r.Way, r.Share,
+			r.Total.Asked, r.Total.OnTime, r.Total.Late, r.Total.Refused, r.Total.RefusedAgain, r.Queued, r.Starts, r.Borrowed)
 	}
 	return w.Flush()
 }
--- a/experiment/placing/fleet.go
+++ b/experiment/placing/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
 	"github.com/zinniaseam/zinniaseam/slotshare"
+	"github.com/zinniaseam/zinniaseam/startquota"
 	"github.com/zinniaseam/zinniaseam/virtualtime"
 )
 
@@ -30,6 +31,13 @@
 	pumpInterval   = 10 * time.Millisecond
 )
 
+// An engine may receive coldRate*coldOver+coldSlack calls within a second.
+const (
+	coldRate  = 36
+	coldOver  = 1.5
+	coldSlack = 5
+)
+
 const (
 	service = core.ServiceID("engines")
 	model   = "m"
@@ -106,6 +114,7 @@
 	gateways []*gateway
 	tally    *Tally
 	dividers map[string]*slotshare.Divider
+	quotas   map[string]*startquota.Quota
 	// closesAt holds the announced drain times.
 	closesAt map[*engine]boottime.Instant
 }
@@ -114,7 +123,7 @@
 func Run(scenario Scenario, seed uint64) *Tally {
 	d := &deployment{
 		scenario: scenario, clock: virtualtime.New(epoch), random: rand.New(rand.NewPCG(seed, seed+1)),
-		dividers: map[string]*slotshare.Divider{}, closesAt: map[*engine]boottime.Instant{}, byID: map[fleet.EndpointID]*engine{}, tally: newTally(scenario.Length),
+		dividers: map[string]*slotshare.Divider{}, quotas: map[string]*startquota.Quota{}, closesAt: map[*engine]boottime.Instant{}, byID: map[fleet.EndpointID]*engine{}, tally: newTally(scenario.Length),
 	}
 	d.build()
 	d.nextArrival()
@@ -134,7 +143,11 @@
 		engineCount = max(engineCount, int(step.Value))
 	}
 	view := fleet.NewView()
-	view.Deployment = &catalogue.Deployment{Services: map[core.ServiceID]catalogue.Backend{service: {Name: service, Engine: profile()}}}
+	backend := catalogue.Backend{Name: service, Engine: profile()}
+	if !d.scenario.Undivided {
+		backend.ColdRate = coldRate
+	}
+	view.Deployment = &catalogue.Deployment{Services: map[core.ServiceID]catalogue.Backend{service: backend}}
 	view.Versions[model] = 1
 	for i := range engineCount {
 		id := fleet.EndpointID(fmt.Sprintf("e%d", i))
@@ -207,8 +220,16 @@
 	divider := slotshare.NewDivider(address)
 	divider.SetSlots(e.profile.BatchSlots)
 	d.dividers[address] = divider
+	quota := startquota.New(d.now())
+	quota.SetAlone()
+	quota.SetLimit(coldRate*coldOver+coldSlack, e.profile.BatchSlots)
+	d.quotas[address] = quota
 	report := func() {
 		divider.Divide(d.now())
+		quota.Divide(d.now(), func(gateway string) int {
+			slots, _ := divider.Granted(gateway)
+			return slots
+		})
 		status := placement.EngineStatus{
 			Address: address, Boot: 1, Running: len(e.running), Waiting: len(e.waiting), Version: e.version,
 			Loading: e.draining, Unreachable: e.crashed, ClosesAt: d.closesAt[e],
@@ -220,6 +241,9 @@
 				if granted, counted := divider.Granted(g.name); counted && !d.scenario.Undivided {
 					status.Granted = granted
 				}
+				lease := quota.Lease(g.name)
+				g.leases[address] = lease.Number
+				g.placer.UpdatePermit(address, startquota.Permit{Starts: lease.Starts, Until: d.now().Add(startquota.LeaseTime)})
 				g.updateEngine(status)
 			}
 		})
--- a/experiment/placing/gateway.go
+++ b/experiment/placing/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 // gateway drives a placer in the same way as the gateway process.
@@ -23,13 +24,15 @@
 	// asked again.
 	emptyUntil      map[*gateway]boottime.Instant
 	releaseBorrowed map[*placement.Ticket]func()
+	// leases are the numbers of the leases of call starts, by engine address.
+	leases map[string]uint64
 }
 
 func newGateway(d *deployment, index int, view *fleet.View) *gateway {
 	zone := index % 3
-	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, zone: zone, emptyUntil: map[*gateway]boottime.Instant{}, releaseBorrowed: map[*placement.Ticket]func(){}, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{
+	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, zone: zone, emptyUntil: map[*gateway]boottime.Instant{}, releaseBorrowed: map[*placement.Ticket]func(){}, leases: map[string]uint64{}, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{
 		Zone: core.ZoneID("z" + string(rune('0'+zone))), Region: core.RegionID("r" + string(rune('0'+zone))),
-		VersionSwitch: 8 * time.Second, ColdShare: 1, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
+		VersionSwitch: 8 * time.Second, ColdOver: coldOver, ColdSlack: coldSlack, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
 	})}
 	g.placer.SetView(d.now(), view)
 	d.clock.Every(pumpInterval, g.pump)
@@ -44,10 +47,18 @@
 
 // sendDemand sends the gateway's slot demand to the agents of the engines.
 func (g *gateway) sendDemand() {
-	demands := g.placer.SlotDemand(g.deployment.now())
-	g.deployment.clock.After(engineLatency, func() {
+	d := g.deployment
+	demands := g.placer.SlotDemand(d.now())
+	reports := map[string]startquota.Report{}
+	for address := range d.quotas {
+		reports[address] = startquota.Report{Process: 1, Number: g.leases[address], Sent: g.placer.StartsSent(d.now(), address)}
+	}
+	d.clock.After(engineLatency, func() {
 		for address, demand := range demands {
-			g.deployment.dividers[address].SetDemand(g.deployment.now(), g.name, demand)
+			d.dividers[address].SetDemand(d.now(), g.name, demand)
+		}
+		for address, report := range reports {
+			d.quotas[address].Seen(d.now(), g.name, report)
 		}
 	})
 }
@@ -122,7 +133,7 @@
 		g.act(ticket, c)
 	case !waiting && !rejected:
 		release()
-	case !g.placer.PlaceBorrowed(d.now(), ticket, lease.Decision().Endpoint.ID, lease.Decision().Expected):
+	case !g.placer.PlaceBorrowed(d.now(), ticket, lease.Decision().Endpoint.ID, lease.Decision().Expected, d.now().Add(lease.Decision().SendWithin)):
 		release()
 		if rejected {
 			g.act(ticket, c)
@@ -151,6 +162,11 @@
 		g.reject(c, decision.RetryAfter)
 		return
 	}
+	if !g.placer.MayStart(g.deployment.now(), ticket) {
+		g.resubmit(ticket, c, decision.Endpoint.ID)
+		return
+	}
+	g.deployment.tally.started(decision.Endpoint.ID, g.deployment.clock.Now())
 	g.deployment.clock.After(engineLatency, func() { g.send(ticket, c, decision.Endpoint.ID) })
 }
 
--- a/experiment/placing/tally.go
+++ b/experiment/placing/tally.go
@@ -1,6 +1,11 @@
 package placing
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/fleet"
+)
 
 // longQueueTime is the time in an engine's queue above which a call counts as
 // queued: about two passes of a full engine.
@@ -21,6 +26,11 @@
 	// Begun counts calls that generated their first tokens, Queued those of them
 	// that waited in the engine's queue for longer than longQueueTime.
 	Begun, Queued int
+	// MaxStarts is the largest number of calls that were sent to one engine within a
+	// second.
+	MaxStarts int
+	// recent are the calls sent to each engine within the last second.
+	recent map[fleet.EndpointID][]time.Time
 }
 
 // Count holds the outcomes of a group of calls.
@@ -44,7 +54,14 @@
 }
 
 func newTally(length time.Duration) *Tally {
-	return &Tally{Windows: make([]Count, int(length/window)+1)}
+	return &Tally{Windows: make([]Count, int(length/window)+1), recent: map[fleet.EndpointID][]time.Time{}}
+}
+
+// started records that a call is sent to an engine.
+func (t *Tally) started(id fleet.EndpointID, now time.Time) {
+	recent := slices.DeleteFunc(t.recent[id], func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	t.recent[id] = append(recent, now)
+	t.MaxStarts = max(t.MaxStarts, len(t.recent[id]))
 }
 
 // each applies change to the counts that a call belongs to.
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -49,8 +49,9 @@
 
 // agents keeps a stream to the agent of each engine of the deployment.
 type agents struct {
-	// name is the name of this process.
+	// name is the name of this gateway, process identifies the running process.
 	name      string
+	process   uint64
 	pool      *peers.Pool
 	port      int
 	regions   map[core.ZoneID]core.RegionID
@@ -86,6 +87,9 @@
 	reported bool
 	// connected is set while the stream is open.
 	connected bool
+	// lease is the number of the last lease of call starts that was applied on the open
+	// stream.
+	lease uint64
 }
 
 // wakeAll makes the senders of all streams check for changes.
@@ -198,6 +202,7 @@
 	profile := view.Deployment.Services[service].Engine
 	update := &peerpb.FleetNews{Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
 	update.Model, update.Version = view.TargetVersion(service, profile)
+	update.MaxStarts = uint32(a.scheduler.maxStarts(service))
 	for _, backend := range view.Deployment.Services {
 		if backend.Origin != "" {
 			update.Origin, update.OriginRegion = backend.Origin, string(a.regions[backend.OriginZone])
@@ -224,6 +229,7 @@
 			return
 		}
 		a.setDisconnected(link)
+		a.scheduler.endPermit(engine)
 		if !disconnected {
 			disconnected = true
 			a.gateway.log.Warn("Lost the connection to an agent; retrying.", "engine", engine, "err", err)
@@ -237,7 +243,7 @@
 func (a *agents) setDisconnected(link *agentLink) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	link.connected = false
+	link.connected, link.lease = false, 0
 }
 
 func (a *agents) stream(ctx context.Context, engine string, link *agentLink, disconnected *bool) error {
@@ -285,6 +291,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	link.version, link.reported, link.connected = status.GetVersion(), true, true
+	if link.lease != status.GetLeaseNumber() {
+		link.lease = status.GetLeaseNumber()
+		link.wake()
+	}
 	if status.GetRelays() == nil {
 		return
 	}
@@ -334,7 +344,7 @@
 	defer a.mu.Unlock()
 	message := &peerpb.GatewayNews{}
 	if sent.Gateway == "" {
-		message.Gateway, message.Region = a.name, string(a.gateway.config.Relay.Region)
+		message.Gateway, message.Region, message.Process = a.name, string(a.gateway.config.Relay.Region), a.process
 		sent.Gateway = a.name
 	}
 	if link.fleet != sent.Fleet {
@@ -357,9 +367,11 @@
 		message.PromptParts, sent.records, sent.recordsAt = peers.EncodeRecords(records), version, now
 	}
 	sentMs := uint64(time.Duration(a.scheduler.now()).Milliseconds())
-	if proto.Equal(message, &peerpb.GatewayNews{}) && sentMs-sent.SentMs < uint64(demandRepeat.Milliseconds()) {
+	if proto.Equal(message, &peerpb.GatewayNews{}) && link.lease == sent.LeaseNumber && sentMs-sent.SentMs < uint64(demandRepeat.Milliseconds()) {
 		return nil, link.changed
 	}
+	message.LeaseNumber, sent.LeaseNumber = link.lease, link.lease
+	message.StartsSent = uint32(a.scheduler.startsSent(link.address))
 	message.Declarations = a.scheduler.declarationAges(link.fleet.GetModel())
 	message.SentMs, sent.SentMs = sentMs, sentMs
 	return message, link.changed
--- a/gateway/cold_endpoint_test.go
+++ b/gateway/cold_endpoint_test.go
@@ -61,7 +61,7 @@
 	g := NewWithT(t)
 	f := startFleetOf(t, fleetConfig{
 		declaration: strings.Replace(engineDeclaration, `"name":"s",`, fmt.Sprintf(`"name":"s","cold-per-s":%d,`, coldPerS), 1),
-		engines:     2, gateways: 36, coldOver: coldOver, coldSlack: coldSlack, coldShare: 1.0 / 12,
+		engines:     2, gateways: 36, coldOver: coldOver, coldSlack: coldSlack,
 	})
 	c := newCallers(t, f)
 	var load sync.WaitGroup
--- a/gateway/declaration_age_test.go
+++ b/gateway/declaration_age_test.go
@@ -71,7 +71,7 @@
 	t.Helper()
 	store.from = time.Now()
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}, store.now, logging.Discard())
-	placer := placement.New(placement.Config{Zone: "z", Region: "r", ColdShare: 1, VersionSwitch: versionSwitch, Random: rand.New(rand.NewPCG(1, 1))})
+	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: versionSwitch, Random: rand.New(rand.NewPCG(1, 1))})
 	tracker.OnChange(func(view *fleet.View) { placer.SetView(store.now(), view) })
 	ctx, cancel := context.WithCancel(t.Context())
 	follower := metastore.Follower{
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -140,11 +140,11 @@
 type fleetConfig struct {
 	declaration       string
 	engines, gateways int
-	// coldOver, coldSlack and coldShare are the gateways' bounds for cold engines.
-	coldOver, coldSlack, coldShare float64
+	// coldOver and coldSlack bound the calls to cold engines.
+	coldOver, coldSlack float64
 }
 
-var usualFleet = fleetConfig{declaration: engineDeclaration, engines: engineCount, gateways: gatewayCount, coldShare: 1}
+var usualFleet = fleetConfig{declaration: engineDeclaration, engines: engineCount, gateways: gatewayCount}
 
 // testFleet is a deployment of stand-in engines with real gateways and agents.
 type testFleet struct {
@@ -253,7 +253,7 @@
 	regions := map[core.ZoneID]core.RegionID{"z": "r"}
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
 	placer := placement.New(placement.Config{
-		Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack, ColdShare: f.config.coldShare,
+		Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack,
 		VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, uint64(index))),
 	})
 	gw, err := gateway.New(gateway.Config{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -101,7 +102,7 @@
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
 	g.agents = &agents{
-		name: string(config.Name),
+		name: string(config.Name), process: rand.Uint64(),
 		pool: pool, port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*agentLink{}, pauses: boottime.NewPauseDetector(now),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -119,7 +119,7 @@
 	callers, ready := freeAddress(t), freeAddress(t)
 	decoder := &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}
 	tracker := fleet.NewTracker(decoder, boottime.Now, logging.Discard())
-	placer := placement.New(placement.Config{Zone: "z", Region: "r", ColdShare: 1, Random: rand.New(rand.NewPCG(1, 1))})
+	placer := placement.New(placement.Config{Zone: "z", Region: "r", Random: rand.New(rand.NewPCG(1, 1))})
 	gw, err := gateway.New(gateway.Config{
 		CallerListen: callers, ReadyListen: ready, MaxKeyAge: 300 * time.Millisecond, MaxDeclarationAge: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetryBurst: 10, StopTimeout: 5 * time.Second, WatchWait: 50 * time.Millisecond, MetricsListen: freeAddress(t),
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -122,6 +122,7 @@
 		if !ok {
 			return false
 		}
+		requestedAt := l.scheduler.now()
 		reply, err := l.requestSlot(ctx, address, ticket.Request)
 		switch {
 		case err != nil:
@@ -136,7 +137,8 @@
 		}
 		borrowed := slotLease{peer: address, number: reply.GetLoan()}
 		expected := time.Duration(reply.GetExpectedMs()) * time.Millisecond
-		if l.scheduler.placeBorrowed(ticket, fleet.EndpointID(reply.GetEngine()), expected, borrowed) {
+		sendBy := requestedAt.Add(time.Duration(reply.GetStartWithinMs()) * time.Millisecond)
+		if l.scheduler.placeBorrowed(ticket, fleet.EndpointID(reply.GetEngine()), expected, sendBy, borrowed) {
 			leaseCounts.Add("borrowed", 1)
 			return true
 		}
@@ -225,7 +227,10 @@
 	l.lent[l.last] = lentSlot{ticket: ticket, until: l.scheduler.now().Add(maxLeaseDuration)}
 	leaseCounts.Add("lent", 1)
 	decision := ticket.Decision()
-	return &peerpb.LendReply{Loan: l.last, Engine: string(decision.Endpoint.ID), ExpectedMs: uint32(decision.Expected.Milliseconds())}, nil
+	return &peerpb.LendReply{
+		Loan: l.last, Engine: string(decision.Endpoint.ID), ExpectedMs: uint32(decision.Expected.Milliseconds()),
+		StartWithinMs: uint32(decision.SendWithin.Milliseconds()),
+	}, nil
 }
 
 // GiveBack implements peerpb.GatewayServer.
--- a/gateway/lend_test.go
+++ b/gateway/lend_test.go
@@ -32,7 +32,7 @@
 		ID: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z", Region: "r", Slots: 4, Boot: 1,
 		Weights: []fleet.LoadedLayers{{Model: "m", Version: 1, To: 1}},
 	}
-	placer := placement.New(placement.Config{Zone: "z", Region: "r", ColdShare: 1, VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, 1))})
+	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, 1))})
 	s := newScheduler(placer, boottime.Now)
 	s.setView(view)
 	s.update(func(p *placement.Placer, now boottime.Instant) {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -150,10 +150,10 @@
 
 // placeBorrowed places a ticket in a slot of another gateway. It returns false if the
 // ticket has been placed meanwhile or may not run there.
-func (s *scheduler) placeBorrowed(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, from slotLease) bool {
+func (s *scheduler) placeBorrowed(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant, from slotLease) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.placer.PlaceBorrowed(s.now(), ticket, id, expected) {
+	if !s.placer.PlaceBorrowed(s.now(), ticket, id, expected, sendBy) {
 		return false
 	}
 	delete(s.waiting, ticket)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -4,13 +4,17 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 func (s *scheduler) updateEngine(status *peerpb.EngineNews) {
 	s.update(func(p *placement.Placer, now boottime.Instant) {
+		p.UpdatePermit(status.GetEngine(), startPermit(status))
+		p.UpdateGateways(int(status.GetGateways()))
 		lost := p.UpdateEngine(placement.EngineStatus{
 			Address: status.GetEngine(), Boot: status.GetBoot(), Running: int(status.GetRunning()), Waiting: int(status.GetWaiting()),
 			Loading: status.GetLoading(), Version: status.GetVersion(), Unreachable: status.GetUnreachable(), At: now,
@@ -24,6 +28,39 @@
 	})
 }
 
+// endPermit ends the permit for the calls to an engine when its agent can't be heard any more.
+func (s *scheduler) endPermit(engine string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placer.UpdatePermit(engine, startquota.Permit{})
+}
+
+// startsSent returns the number of calls that were sent to an engine in the last second.
+func (s *scheduler) startsSent(engine string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.StartsSent(s.now(), engine)
+}
+
+// maxStarts returns how many calls an endpoint of a service may receive within a second, 0
+// if that is not limited.
+func (s *scheduler) maxStarts(service core.ServiceID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.MaxStarts(service)
+}
+
+// startPermit returns the permit by the lease in a status. It ends LeaseTime after this process sent the
+// message that the agent had received last, so that the agent never gives a lease away
+// before its end. An engine that responds and has no weights is leased to nobody.
+func startPermit(status *peerpb.EngineNews) startquota.Permit {
+	if status.GetEchoMs() == 0 || !status.GetUnreachable() && status.GetVersion() == 0 {
+		return startquota.Permit{}
+	}
+	sent := boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond)
+	return startquota.Permit{Starts: int(status.GetStarts()), Boot: status.GetBoot(), Until: sent.Add(startquota.LeaseTime)}
+}
+
 // learnDeclarations applies the ages of declarations that an agent has sent.
 func (s *scheduler) learnDeclarations(encoded []*peerpb.DeclarationAge) {
 	if len(encoded) == 0 {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	_, registered := p.view.Endpoints[e.ID]
-	return registered && p.permitted(now, e, &ticket.Request)
+	return registered && p.permitted(now, e, &ticket.Request) && ticket.maySend(now)
 }
 
 // servable reports whether an engine has all layers of a version on which calls may
@@ -108,32 +108,7 @@
 	if e.full(now) || e.prefillLimitReached(now, request) {
 		return false
 	}
-	return !p.coldLimitReached(now, e)
-}
-
-// coldLimitReached reports whether this process has used up its share of an endpoint's
-// cold rate in the last second. The limit applies to warm endpoints as well, since an
-// endpoint may become cold at any moment.
-func (p *Placer) coldLimitReached(now boottime.Instant, e *endpointState) bool {
-	limit, limited := p.coldLimit(now, e)
-	return limited && e.cold.count(now) >= limit
-}
-
-// coldLimit returns how many calls this process may place on an endpoint within a second.
-// It returns false if the endpoint has no cold rate.
-func (p *Placer) coldLimit(now boottime.Instant, e *endpointState) (limit int, limited bool) {
-	if e.backend == nil || e.backend.ColdRate <= 0 {
-		return 0, false
-	}
-	share := p.config.ColdShare
-	if e.divided(now) {
-		if e.status.Granted == 0 {
-			return 0, true
-		}
-		share = float64(e.status.Granted) / float64(e.Slots)
-	}
-	bound := (e.backend.ColdRate*p.config.ColdOver + p.config.ColdSlack) * share
-	return max(int(bound), 1), true
+	return !p.startLimitReached(now, e)
 }
 
 // mayBecomeEligible reports whether an endpoint that cannot run the request now may be
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -50,28 +50,46 @@
 }
 
 // addSlotDemand divides the expected load of a service among its engines. Engines
-// nearby get a larger part, to limit the traffic between regions.
+// nearby get a larger part, to limit the traffic between regions. An engine that will
+// become ready gets the demand that it would have then, so that its slots are divided when
+// the first calls are placed.
 func (p *Placer) addSlotDemand(now boottime.Instant, service core.ServiceID, list []*endpointState, demands map[string]slotshare.Demand) {
-	var callTime time.Duration
-	count, weights := 0, 0.0
+	var ready, coming []*endpointState
 	for _, e := range list {
-		if e.profile != nil && p.usable(now, e) {
-			callTime += e.expectedCallTime()
-			weights += p.proximityWeight(e)
-			count++
+		switch {
+		case e.profile == nil || !p.reachable(now, e):
+		case p.servable(now, e):
+			ready = append(ready, e)
+		default:
+			coming = append(coming, e)
 		}
 	}
-	if count == 0 {
-		return
+	weights := 0.0
+	for _, e := range ready {
+		weights += p.proximityWeight(e)
 	}
-	calls := p.arrivalRateOf(service).rate(now) * callTime.Seconds() / float64(count)
-	for _, e := range list {
-		if e.profile != nil && p.usable(now, e) {
-			demands[e.Address] = slotshare.Demand{Calls: calls * p.proximityWeight(e) / weights, Open: e.usedSlots()}
-		}
+	measured := ready
+	if len(ready) == 0 {
+		measured = coming
+	}
+	calls := p.arrivalRateOf(service).rate(now) * meanCallTime(measured).Seconds()
+	for _, e := range ready {
+		demands[e.Address] = slotshare.Demand{Calls: calls * p.proximityWeight(e) / weights, Open: e.usedSlots()}
+	}
+	for _, e := range coming {
+		weight := p.proximityWeight(e)
+		demands[e.Address] = slotshare.Demand{Calls: calls * weight / (weights + weight), Open: e.usedSlots()}
 	}
 }
 
+func meanCallTime(engines []*endpointState) time.Duration {
+	var total time.Duration
+	for _, e := range engines {
+		total += e.expectedCallTime()
+	}
+	return total / time.Duration(max(len(engines), 1))
+}
+
 // Weights of engines by proximity. Engines of other regions have a weight above zero,
 // so that a region with more calls than its engines can run is served too.
 const (
@@ -93,6 +111,11 @@
 
 // usable reports whether an endpoint may receive new calls now.
 func (p *Placer) usable(now boottime.Instant, e *endpointState) bool {
-	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.status.Unreachable && !e.health.backingOff(now) &&
-		(e.profile == nil || p.servable(now, e))
+	return p.reachable(now, e) && (e.profile == nil || p.servable(now, e))
+}
+
+// reachable reports whether an endpoint could receive new calls if it serves the declared
+// weights.
+func (p *Placer) reachable(now boottime.Instant, e *endpointState) bool {
+	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.status.Unreachable && !e.health.backingOff(now)
 }
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -58,11 +58,7 @@
 	// and ended after it.
 	report                LoadReport
 	sentSince, endedSince int
-	// coldUntil is when the endpoint is expected to be warm. The limit by its cold rate
-	// applies afterwards as well.
-	coldUntil boottime.Instant
-	cold      window
-	health    health
+	health                health
 	// status is the newest status from the endpoint's agent, path the newest measured
 	// round trip to it.
 	status EngineStatus
--- a/placement/health.go
+++ b/placement/health.go
@@ -63,24 +63,6 @@
 
 func (h *health) backingOff(now boottime.Instant) bool { return now.Before(h.until) }
 
-// coldWindow is the period over which calls are counted against a cold rate, which is
-// in calls per second.
-const coldWindow = time.Second
-
-// window counts the events in the last coldWindow.
-type window struct{ at []boottime.Instant }
-
-func (w *window) count(now boottime.Instant) int {
-	keep := 0
-	for keep < len(w.at) && now.Sub(w.at[keep]) >= coldWindow {
-		keep++
-	}
-	w.at = w.at[keep:]
-	return len(w.at)
-}
-
-func (w *window) add(now boottime.Instant) { w.at = append(w.at, now) }
-
 // slowestTTL is how long the slowest time to first byte counts in full.
 const slowestTTL = 5 * time.Second
 
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -24,6 +24,7 @@
 		return nil
 	}
 	p.place(now, ticket, best, expected)
+	ticket.decision.SendWithin = ticket.lendStart(now)
 	// The borrower detects overdue first bytes.
 	ticket.started = true
 	return ticket
@@ -41,16 +42,16 @@
 	return float64(free) - p.arrivalRateOf(request.Service).rate(now)*reserveTime.Seconds()
 }
 
-// PlaceBorrowed places a request in a slot of another process. It returns false if the
-// ticket is already placed, or if according to this process's view the endpoint cannot
-// run the request.
-func (p *Placer) PlaceBorrowed(now boottime.Instant, ticket *Ticket, id fleet.EndpointID, expected time.Duration) bool {
+// PlaceBorrowed places a request in a slot of another process, to be sent before sendBy. It
+// returns false if the ticket is already placed, or if according to this process's view the
+// endpoint cannot run the request.
+func (p *Placer) PlaceBorrowed(now boottime.Instant, ticket *Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant) bool {
 	e := p.endpoints[id]
 	if ticket.endpoint != nil || e == nil || !p.eligible(now, e, &ticket.Request) || !p.usable(now, e) {
 		return false
 	}
 	p.Cancel(ticket)
-	ticket.borrowed = true
+	ticket.borrowed, ticket.sendBy = true, sendBy
 	ticket.decision.Waited = now.Sub(ticket.arrived)
 	e.borrowed++
 	p.place(now, ticket, e, expected)
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -89,6 +89,7 @@
 	if e == nil {
 		return
 	}
+	ticket.settleStart(now, outcome)
 	ticket.endpoint = nil
 	delete(e.open, ticket)
 	if ticket.borrowed {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -10,6 +10,7 @@
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/rollout"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 // Config configures a Placer.
@@ -19,8 +20,6 @@
 	// ColdOver and ColdSlack bound the calls per second that a cold endpoint may receive
 	// from all entries together: its declared cold rate times ColdOver, plus ColdSlack.
 	ColdOver, ColdSlack float64
-	// ColdShare is the fraction of that bound which this process may use, from 0 to 1.
-	ColdShare float64
 	// VersionSwitch is how long older weights may start work after newer ones were
 	// declared.
 	VersionSwitch time.Duration
@@ -65,6 +64,11 @@
 	endpoints map[fleet.EndpointID]*endpointState
 	byService map[core.ServiceID][]*endpointState
 	queue     []*Ticket
+	// senders count the calls to each address.
+	senders map[string]*startquota.Sender
+	// gateways is the largest number of gateways that is known to have run at once, 0 if
+	// none is known.
+	gateways int
 	// declared are the declared versions of each model.
 	declared map[string]*rollout.Declarations
 	// arrivals is the arrival rate of each service, slowest its longest recent time to
@@ -77,7 +81,7 @@
 func New(config Config) *Placer {
 	return &Placer{
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
-		byService: map[core.ServiceID][]*endpointState{}, declared: map[string]*rollout.Declarations{},
+		byService: map[core.ServiceID][]*endpointState{}, senders: map[string]*startquota.Sender{}, declared: map[string]*rollout.Declarations{},
 		arrivals: map[core.ServiceID]*arrivalRate{}, slowest: map[core.ServiceID]*slowest{},
 	}
 }
@@ -102,23 +106,24 @@
 			state = newEndpointState(endpoint)
 			p.endpoints[id] = state
 		}
-		p.refresh(now, state, endpoint)
+		p.refresh(state, endpoint)
 		p.byService[endpoint.Service] = append(p.byService[endpoint.Service], state)
 	}
 	for _, list := range p.byService {
 		slices.SortFunc(list, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	p.forgetSenders(now)
 }
 
-func (p *Placer) refresh(now boottime.Instant, state *endpointState, endpoint *fleet.Endpoint) {
+func (p *Placer) refresh(state *endpointState, endpoint *fleet.Endpoint) {
 	state.Endpoint = *endpoint
-	state.coldUntil = endpoint.SeenAt.Add(endpoint.ColdFor)
 	if p.view.Deployment == nil {
 		return
 	}
 	backend, known := p.view.Deployment.Services[endpoint.Service]
 	if known {
 		state.backend, state.profile = &backend, backend.Engine
+		p.refreshPlainPermit(state)
 	}
 }
 
@@ -241,15 +246,16 @@
 	ticket.endpoint, ticket.sentAt = e, now
 	e.open[ticket] = struct{}{}
 	e.sentSince++
-	e.cold.add(now)
+	p.countPlaced(ticket, e)
 }
 
 // recordLimits records in a ticket's decision which limits allowed it.
 func (p *Placer) recordLimits(now boottime.Instant, ticket *Ticket, e *endpointState) {
 	d := &ticket.decision
-	d.StartLimit, d.Starts, d.Granted, d.GrantAge = -1, e.cold.count(now), -1, 0
-	if limit, limited := p.coldLimit(now, e); limited {
-		d.StartLimit = limit
+	d.StartLimit, d.Starts, d.Granted, d.GrantAge = -1, 0, -1, 0
+	if e.limited() {
+		s := p.senderTo(e.Address)
+		d.StartLimit, d.Starts = s.Limit(now, e.Boot), s.Used(now)
 	}
 	if e.divided(now) {
 		d.Granted, d.GrantAge = e.status.Granted, now.Sub(e.status.At)
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 const engines core.ServiceID = "engines"
@@ -54,10 +55,13 @@
 
 func newPlacer(view *fleet.View) *placement.Placer {
 	p := placement.New(placement.Config{
-		Zone: "z0", Region: "r0", ColdOver: 1.5, ColdSlack: 5, ColdShare: 1, VersionSwitch: 8 * time.Second,
+		Zone: "z0", Region: "r0", ColdOver: 1.5, ColdSlack: 5, VersionSwitch: 8 * time.Second,
 		Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	p.SetView(start, view)
+	for _, endpoint := range view.Endpoints {
+		p.UpdatePermit(endpoint.Address, startquota.Permit{Starts: p.MaxStarts(endpoint.Service), Until: start.Add(time.Minute)})
+	}
 	return p
 }
 
@@ -406,7 +410,7 @@
 	p.Started(start, own)
 	second := p.Submit(start, call(start))
 	g.Expect(second.Decision().Verdict).To(Equal(placement.Wait))
-	g.Expect(p.PlaceBorrowed(start, second, "e0", 100*time.Millisecond)).To(BeTrue())
+	g.Expect(p.PlaceBorrowed(start, second, "e0", 100*time.Millisecond, start.Add(time.Second))).To(BeTrue())
 	g.Expect(p.Waiting()).To(BeZero())
 	g.Expect(p.SlotDemand(start)["10.0.0.1:80"].Open).To(Equal(1))
 	p.Ended(start, own, placement.OutcomeAnswered)
--- a/placement/request.go
+++ b/placement/request.go
@@ -14,6 +14,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 // Request is a call to be placed.
@@ -74,12 +75,13 @@
 	// newer. SupersededFor is how long ago a newer version was declared, -1 if unknown.
 	Weights, NewestWeights int64
 	SupersededFor          time.Duration
-	// StartLimit is how many calls this process could place on the endpoint within a
-	// second, -1 if they are not limited, and Starts how many it had placed there in the
-	// last one. Granted is the number of slots that the endpoint's agent had granted to
+	// StartLimit is how many calls this process could send to the endpoint within a
+	// second, -1 if they are not limited, and Starts how many it had sent there in the last
+	// one or was about to send. SendWithin is for how long a borrower may send the call.
+	// Granted is the number of slots that the endpoint's agent had granted to
 	// this process, -1 for none, as of GrantAge ago.
 	StartLimit, Starts, Granted int
-	GrantAge                    time.Duration
+	GrantAge, SendWithin        time.Duration
 	// Waited is the time spent in the queue.
 	Waited time.Duration
 	// Candidates is the number of eligible endpoints.
@@ -95,8 +97,13 @@
 	endpoint *endpointState
 	sentAt   boottime.Instant
 	started  bool
-	// borrowed is set if the request runs in a slot of another process.
+	// borrowed is set if the request runs in a slot of another process. It is then sent
+	// before sendBy.
 	borrowed bool
+	sendBy   boottime.Instant
+	// sender is set from when the request is placed on an endpoint with a limit until it is
+	// sent.
+	sender *startquota.Sender
 }
 
 // Decision returns the latest decision.
--- /dev/null
+++ b/startquota/divide.go
@@ -0,0 +1,87 @@
+package startquota
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+)
+
+// Divide ends the leases of gateways that sent no message within LeaseTime, and renews the
+// leases of the others by the slots that they may fill, as far as calls are free. It
+// reports whether a lease changed.
+func (q *Quota) Divide(now boottime.Instant, slotsOf func(gateway string) int) bool {
+	used := 0
+	q.former = current(now, q.former)
+	for _, past := range q.former {
+		used += past.starts
+	}
+	for gateway, h := range q.holders {
+		if now.Sub(h.seenAt) > LeaseTime {
+			h.hold(h.leased(), h.seenAt.Add(LeaseTime+holdTime))
+			h.leases = nil
+		}
+		charge := h.charge(now)
+		if charge == 0 && len(h.leases) == 0 {
+			delete(q.holders, gateway)
+			continue
+		}
+		used += charge
+	}
+	changed := false
+	free := q.shared(now) - used
+	for _, gateway := range slices.Sorted(maps.Keys(q.holders)) {
+		h := q.holders[gateway]
+		if len(h.leases) == 0 {
+			continue
+		}
+		free = q.renew(now, h, q.startsFor(now, gateway, slotsOf), free, &changed)
+	}
+	return changed
+}
+
+// renew replaces a gateway's lease if it should have another number of starts, and returns
+// how many starts remain free. A lower number takes effect at once; a higher one needs free
+// starts beyond those that the gateway is charged with already.
+func (q *Quota) renew(now boottime.Instant, h *holder, want, free int, changed *bool) int {
+	newest, charge := h.newest().Starts, h.charge(now)
+	if want > charge {
+		want = min(want, charge+max(free, 0))
+		free -= max(want-charge, 0)
+	}
+	if want == newest {
+		return free
+	}
+	h.leases = append(h.leases, Lease{Number: q.next(), Starts: want})
+	*changed = true
+	return free
+}
+
+// shared returns how many starts all gateways may hold together.
+func (q *Quota) shared(now boottime.Instant) int {
+	numerator := shareNumerator
+	if !q.alone && now.Sub(q.startedAt) < LeaseTime+holdTime {
+		numerator = youngNumerator
+	}
+	return max(q.limit*numerator/shareDenominator, min(q.limit, 1))
+}
+
+// startsFor returns the starts that a gateway should have for the slots that it may fill.
+// If there are fewer starts than slots, they go to the first slots in the order of the
+// gateways' names.
+func (q *Quota) startsFor(now boottime.Instant, gateway string, slotsOf func(string) int) int {
+	slots, shared := slotsOf(gateway), q.shared(now)
+	if slots == 0 || q.slots == 0 {
+		return 0
+	}
+	if shared >= q.slots {
+		return slots * shared / q.slots
+	}
+	before := 0
+	for name := range q.holders {
+		if name < gateway {
+			before += slotsOf(name)
+		}
+	}
+	return (before+slots)*shared/q.slots - before*shared/q.slots
+}
