A call placed on a former start of an endpoint is not sent to the present one

What callers could see: a call is sent to an engine that holds no weights or drains (421 and a delay, or DRAIN and FAILBACK for the fleet).

Cause: MayStart asked whether the endpoint's ID is registered, and looked for everything else at the state of the start on which the call was placed. An engine may keep its ID when it starts again.

Why it works: the state under the ID must be the one on which the call was placed. TestACallPlacedOnAFormerStartOfAnEndpointIsNotSent failed before in both cases and passes; go test ./placement passes.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -87,8 +87,9 @@
 	if e == nil {
 		return false
 	}
+	// An endpoint that has started again has another state under the same ID.
 	_, registered := p.view.Endpoints[e.ID]
-	return registered && p.permitted(now, e, &ticket.Request) && ticket.maySend(now)
+	return registered && p.endpoints[e.ID] == e && p.permitted(now, e, &ticket.Request) && ticket.maySend(now)
 }
 
 // servable reports whether an engine has all layers of a version on which calls may
