The retry slack is divided by the number of gateways that agents see

What callers could see: on a deployment with 38 gateways, while endpoints reject calls, the fleet sends 798 repeats in a window in which 364 are permitted (BUDGET), each of them load on endpoints that are full.

Cause: each gateway used a twelfth of the slack, whatever their number: the constant that broke FAILBACK.

Why it works: agents tell how many gateways they have heard from within the time of a lease; a gateway divides the slack by the largest number it has been told, and has one retry while it knows none. The number does not fall, since gateways that are cut off go on sending. A deployment without agents may set it (gateway.Config.Gateways); the tests without agents do, with the budget for each gateway that they had.

The tests moved from cmd/zsgateway to gateway, where the division is; their bounds are the same. Open: with fewer retries of slack than gateways each keeps one.

--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// budgetShare is the fraction of the deployment-wide retry budget and cold-start
-	// slack that one process may use. A deployment has 7 to 38 gateway processes, and
-	// only a few of them serve the same endpoint at the same time.
-	budgetShare = 1.0 / 12
 	// retryShare is the fraction of the allowed retry ratio that is used.
 	retryShare = 0.8
 	// keyMargin is subtracted from the time within which a revoked key may still be
@@ -61,7 +57,7 @@
 	return gateway.Config{
 		Name: s.VM, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
 		MaxKeyAge: s.Bounds.KeyRevocation - keyMargin, MaxDeclarationAge: s.Bounds.ConfigInForce + 2*watchWait(s.Bounds),
-		RetryRatio: s.Bounds.RetryRatio * retryShare, RetryBurst: max(s.Bounds.RetrySlack*budgetShare, 1),
+		RetryRatio: s.Bounds.RetryRatio * retryShare, RetrySlack: s.Bounds.RetrySlack,
 		MetricsListen: o.MetricsListen(s),
 		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
 		Relay: gateway.RelayConfig{
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -280,6 +280,7 @@
 			a.gateway.quarantine.learn(peers.DecodeRecords(status.GetPromptParts()))
 		}
 		a.scheduler.updateEngine(status)
+		a.gateway.budgets.setGateways(int(status.GetGateways()))
 		a.applyStatus(link, status)
 	}
 }
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -11,9 +11,12 @@
 // budgets holds the retry budget of each service, which bounds the sends beyond the
 // first of each call.
 type budgets struct {
-	config routing.BudgetConfig
+	ratio, slack float64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// gateways is the largest number of gateways that is known to have run at once, 0 if
+	// none is known. It does not fall, since gateways that are cut off go on sending.
+	gateways  int
 	byService map[core.ServiceID]*routing.Budget
 }
 
@@ -21,17 +24,41 @@
 // close to zero, since the deployment's bound covers all processes together.
 const earnedPerSecond = 0.01
 
-func newBudgets(ratio, burst float64) *budgets {
-	return &budgets{
-		config:    routing.BudgetConfig{Ratio: ratio, Burst: burst, PerSecond: earnedPerSecond},
-		byService: map[core.ServiceID]*routing.Budget{},
+// minBurst is the burst of a process that does not know how many share the slack, or
+// whose part of it is less.
+const minBurst = 1
+
+// newBudgets returns budgets that earn ratio retries per call and share slack further ones
+// with the other gateways.
+func newBudgets(ratio, slack float64) *budgets {
+	return &budgets{ratio: ratio, slack: slack, byService: map[core.ServiceID]*routing.Budget{}}
+}
+
+// setGateways divides the slack by the number of gateways, if it is the largest so far.
+func (b *budgets) setGateways(count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if count <= b.gateways {
+		return
+	}
+	b.gateways = count
+	for _, budget := range b.byService {
+		budget.SetBurst(b.burst())
+	}
+}
+
+// burst returns this process's part of the slack. The caller must hold b.mu.
+func (b *budgets) burst() float64 {
+	if b.gateways == 0 {
+		return minBurst
 	}
+	return max(b.slack/float64(b.gateways), minBurst)
 }
 
 func (b *budgets) of(service core.ServiceID) *routing.Budget {
 	budget := b.byService[service]
 	if budget == nil {
-		budget = routing.NewBudget(b.config)
+		budget = routing.NewBudget(routing.BudgetConfig{Ratio: b.ratio, Burst: b.burst(), PerSecond: earnedPerSecond})
 		b.byService[service] = budget
 	}
 	return budget
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -258,7 +258,7 @@
 	})
 	gw, err := gateway.New(gateway.Config{
 		Name: core.VMID("gateway-" + strconv.Itoa(index)), CallerListen: callers, ReadyListen: ready, AgentPort: port + 1, Regions: regions,
-		MaxKeyAge: 2 * time.Second, MaxDeclarationAge: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 10,
+		MaxKeyAge: 2 * time.Second, MaxDeclarationAge: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 10 * float64(f.config.gateways), Gateways: f.config.gateways,
 		StopTimeout: 5 * time.Second, WatchWait: 500 * time.Millisecond, MetricsListen: address(host, port+2),
 		Relay: gateway.RelayConfig{
 			Listen: address(host, port+3), Zone: "z", Region: "r",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,9 +55,12 @@
 	// MaxDeclarationAge is the maximum age of the declaration at which calls are finally
 	// rejected based on it.
 	MaxDeclarationAge time.Duration
-	// RetryRatio and RetryBurst set the retry budget: the sends beyond the first per
-	// call, and their burst.
-	RetryRatio, RetryBurst float64
+	// RetryRatio and RetrySlack set the retry budget: the sends beyond the first per call,
+	// and how many more all gateways together may send at once.
+	RetryRatio, RetrySlack float64
+	// Gateways is the number of gateways of the deployment as far as it is known at the
+	// start, 0 if only agents tell it.
+	Gateways int
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// MetricsListen is the address that serves counters and histograms.
@@ -98,7 +101,7 @@
 	}
 	g := &Gateway{
 		config: config, dialect: dialect, tracker: tracker, store: store, pool: forward.NewPool(),
-		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetryBurst),
+		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
 	g.agents = &agents{
@@ -106,6 +109,8 @@
 		pool: pool, port: config.AgentPort, regions: config.Regions,
 		scheduler: g.scheduler, gateway: g, current: map[string]*agentLink{}, pauses: boottime.NewPauseDetector(now),
 	}
+	g.budgets.setGateways(config.Gateways)
+	placer.UpdateGateways(config.Gateways)
 	g.quarantine = newQuarantineGuard(now, logger)
 	g.quarantine.changed, g.quarantine.mayTry = g.agents.wakeAll, g.agents.mayTry
 	g.scheduler.lender = newLender(config.Relay, pool, g.scheduler, logger)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -122,7 +122,7 @@
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", Random: rand.New(rand.NewPCG(1, 1))})
 	gw, err := gateway.New(gateway.Config{
 		CallerListen: callers, ReadyListen: ready, MaxKeyAge: 300 * time.Millisecond, MaxDeclarationAge: 300 * time.Millisecond,
-		RetryRatio: 0.2, RetryBurst: 10, StopTimeout: 5 * time.Second, WatchWait: 50 * time.Millisecond, MetricsListen: freeAddress(t),
+		RetryRatio: 0.2, RetrySlack: 10, Gateways: 1, StopTimeout: 5 * time.Second, WatchWait: 50 * time.Millisecond, MetricsListen: freeAddress(t),
 		Relay: gateway.RelayConfig{Listen: freeAddress(t), Zone: "z", Region: "r", Version: platform.VersionID},
 	}, platform.Dialect{}, s, platform.NewOrigin(), tracker, placer, boottime.Now, logging.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/cmd/zsgateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -1,4 +1,4 @@
-package main
+package gateway
 
 import (
 	"fmt"
@@ -7,18 +7,19 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/zinniaseam/zinniaseam/platform"
 	"github.com/zinniaseam/zinniaseam/routing"
 )
 
 const (
 	// retryWindow is the budget-window-s of the deployments.
 	retryWindow = 10 * time.Second
-	// budgetGain is what gateway.budgets lets a budget gain per second without calls.
-	budgetGain = 0.01
+	// retryRatio is the retry-budget-ratio of the deployments, of which gateways use
+	// usedRatio.
+	retryRatio = 0.2
+	usedRatio  = 0.8
 	// repeatsPerCall is the number of sends beyond the first of a call that every endpoint
-	// rejects (gateway.maxRejectedSends, less the first).
-	repeatsPerCall = 2
+	// rejects.
+	repeatsPerCall = maxRejectedSends - 1
 )
 
 // fleetOfBudgets is a deployment whose gateways get equal parts of the calls.
@@ -31,11 +32,11 @@
 // repeatsInWindow plays a calm period, then one in which every attempt is rejected. It
 // returns the repeats in the first window of the rejections, and what BUDGET permits there.
 func (f fleetOfBudgets) repeatsInWindow() (repeats int, permitted float64) {
-	bounds := platform.Bounds{RetryRatio: 0.2, RetrySlack: f.slack, KeyRevocation: 5 * time.Second, ConfigInForce: 2 * time.Second, StopGrace: 8 * time.Second}
-	config := provideConfig(&platform.Options{}, &platform.Settings{Bounds: bounds})
 	budgets := make([]*routing.Budget, f.gateways)
 	for i := range budgets {
-		budgets[i] = routing.NewBudget(routing.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, PerSecond: budgetGain})
+		shared := newBudgets(usedRatio*retryRatio, f.slack)
+		shared.setGateways(f.gateways)
+		budgets[i] = shared.of("s")
 	}
 	start := time.Unix(1_000_000, 0)
 	windowCalls := f.callsPerSecond * int(retryWindow/time.Second)
@@ -52,7 +53,7 @@
 			}
 		}
 	}
-	return repeats, bounds.RetryRatio*float64(windowCalls) + f.slack
+	return repeats, retryRatio*float64(windowCalls) + f.slack
 }
 
 func checkRetries(t *testing.T, fleets ...fleetOfBudgets) {
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -41,6 +41,12 @@
 	return &Budget{config: config, tokens: config.Burst}
 }
 
+// SetBurst changes the maximum number of unused retries. Unused retries above it are lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.config.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Answered adds the retries earned by one answered request.
 func (b *Budget) Answered(now time.Time) {
 	b.refill(now)
