Calls of former processes count until they can no longer arrive

What callers could see: a cold engine gets up to 36 of 30 calls after its agent restarts, and 48 after a gateway restarts.

Cause: an agent that succeeds another one leased two fifths of the limit at once, although four fifths may have been sent in the second before; and a late message of a gateway process that had ended passed for a newer process, whose predecessor's lease was then forgotten after a second instead of at its end.

Why it works: for the first 1.25 s an agent leases what its predecessor left, a fifth, and two fifths until the predecessor's leases have ended. A process that was replaced at its gateway is not listened to again.

SetAlone became SetUnprecedented; the number of gateways is counted once per division. Open: after 1.25 s the sum can reach six fifths if gateways holding most leases do not hear that the agent's process ended, but still reach the engine.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -227,7 +227,7 @@
 	}
 	version := completeVersion(report, a.updater.layers())
 	if a.boot != report.Boot && (a.boot != 0 || version == 0) {
-		a.quota.SetAlone()
+		a.quota.SetUnprecedented()
 	}
 	a.boot = report.Boot
 	next := &peerpb.EngineNews{
--- a/experiment/placing/fleet.go
+++ b/experiment/placing/fleet.go
@@ -221,7 +221,7 @@
 	divider.SetSlots(e.profile.BatchSlots)
 	d.dividers[address] = divider
 	quota := startquota.New(d.now())
-	quota.SetAlone()
+	quota.SetUnprecedented()
 	quota.SetLimit(coldRate*coldOver+coldSlack, e.profile.BatchSlots)
 	d.quotas[address] = quota
 	report := func() {
--- a/startquota/divide.go
+++ b/startquota/divide.go
@@ -29,12 +29,14 @@
 		used += charge
 	}
 	changed := false
+	q.gateways = 0
 	free := q.shared(now) - used
 	for _, gateway := range slices.Sorted(maps.Keys(q.holders)) {
 		h := q.holders[gateway]
 		if len(h.leases) == 0 {
 			continue
 		}
+		q.gateways++
 		free = q.renew(now, h, q.startsFor(now, gateway, slotsOf), free, &changed)
 	}
 	return changed
@@ -59,11 +61,15 @@
 
 // shared returns how many starts all gateways may hold together.
 func (q *Quota) shared(now boottime.Instant) int {
-	numerator := shareNumerator
-	if !q.alone && now.Sub(q.startedAt) < LeaseTime+holdTime {
-		numerator = youngNumerator
+	share, age := usualShare, now.Sub(q.startedAt)
+	switch {
+	case q.unprecedented:
+	case age < holdTime:
+		share = firstShare
+	case age < LeaseTime+holdTime:
+		share = secondShare
 	}
-	return max(q.limit*numerator/shareDenominator, min(q.limit, 1))
+	return max(q.limit*share/shareDenominator, min(q.limit, 1))
 }
 
 // startsFor returns the starts that a gateway should have for the slots that it may fill.
--- a/startquota/quota.go
+++ b/startquota/quota.go
@@ -19,21 +19,31 @@
 	// Window is the time over which calls are counted against a limit.
 	Window = time.Second
 	// LeaseTime is how long a gateway may use a lease after it sent the message that the
-	// lease answers. Gateways send a message at least once per second.
+	// lease answers. Gateways that hold one send a message about twice per second.
 	LeaseTime = 3 * time.Second
 	// MaxSendDelay is how long after a call was counted it may be sent, by a gateway that
 	// borrowed a slot for it.
 	MaxSendDelay = 250 * time.Millisecond
-	// holdTime is how long calls that a gateway may have sent count against the limit.
+	// holdTime is how long calls that a gateway may have sent count against the limit: a
+	// call that is counted now may be sent MaxSendDelay later and counts for a Window then.
 	holdTime = Window + MaxSendDelay
-	// shareNumerator and youngNumerator are the parts of the limit that are leased, of
-	// shareDenominator: usually, and while a gateway may hold a lease of a former process
-	// of which it has not heard that it ended.
-	shareNumerator   = 4
-	youngNumerator   = 2
+)
+
+// Parts of the limit that are leased, of shareDenominator. A process that succeeds another
+// one leases what that one left for holdTime, in which the former one's calls count. Then
+// it leases more until the leases of the former process have ended; gateways drop these
+// when their connection to it is reset.
+const (
+	usualShare       = 4
+	firstShare       = 1
+	secondShare      = 2
 	shareDenominator = 5
 )
 
+// maxFormer bounds the processes that are remembered to have run before a gateway's present
+// one.
+const maxFormer = 8
+
 // Lease is the number of calls that a gateway may send within any Window.
 type Lease struct {
 	// Number identifies the lease. Later leases have higher numbers; 0 is none.
@@ -54,12 +64,15 @@
 // Quota divides the limit of one endpoint. It is not safe for concurrent use.
 type Quota struct {
 	startedAt boottime.Instant
-	// alone is set if no former process can have leased calls to the endpoint as it runs.
-	alone   bool
-	limit   int
-	slots   int
-	last    uint64
-	holders map[string]*holder
+	// unprecedented is set if no former process can have leased calls to the endpoint as it
+	// runs now.
+	unprecedented bool
+	limit         int
+	slots         int
+	last          uint64
+	holders       map[string]*holder
+	// gateways is the number of holders with a lease.
+	gateways int
 	// former are calls that gateway processes which have ended may have sent.
 	former []held
 }
@@ -67,6 +80,8 @@
 // holder is the state of one gateway.
 type holder struct {
 	process uint64
+	// ended are processes that ran before it. Messages of theirs may still arrive.
+	ended []uint64
 	// seenAt is when its last message arrived.
 	seenAt boottime.Instant
 	// leases are the leases that it may use: the last one that it confirmed and all later
@@ -82,9 +97,9 @@
 	until  boottime.Instant
 }
 
-// SetAlone records that no former process can have leased calls to the endpoint as it runs
-// now: a lease holds for one start of an endpoint, and only while it has weights.
-func (q *Quota) SetAlone() { q.alone = true }
+// SetUnprecedented records that no former process can have leased calls to the endpoint as
+// it runs now: a lease holds for one start of an endpoint, and only while it has weights.
+func (q *Quota) SetUnprecedented() { q.unprecedented = true }
 
 // New returns the quota of an endpoint without a limit.
 func New(now boottime.Instant) *Quota {
@@ -95,17 +110,9 @@
 // limit, and how many calls the endpoint runs at once.
 func (q *Quota) SetLimit(limit, slots int) { q.limit, q.slots = limit, slots }
 
-// Gateways returns the number of gateways that sent a message within LeaseTime of the last
-// Divide.
-func (q *Quota) Gateways() int {
-	count := 0
-	for _, h := range q.holders {
-		if len(h.leases) > 0 {
-			count++
-		}
-	}
-	return count
-}
+// Gateways returns the number of gateways that had sent a message within LeaseTime at the
+// last Divide.
+func (q *Quota) Gateways() int { return q.gateways }
 
 // Seen records a message of a gateway.
 func (q *Quota) Seen(now boottime.Instant, gateway string, report Report) {
@@ -114,8 +121,12 @@
 		h = &holder{process: report.Process}
 		q.holders[gateway] = h
 	}
+	if slices.Contains(h.ended, report.Process) {
+		return
+	}
 	if h.process != report.Process {
 		q.former = append(q.former, held{starts: h.charge(now), until: now.Add(holdTime)})
+		h.ended = append(h.ended[max(0, len(h.ended)+1-maxFormer):], h.process)
 		h.process, h.leases, h.held = report.Process, nil, nil
 	}
 	h.seenAt = now
--- a/startquota/quota_test.go
+++ b/startquota/quota_test.go
@@ -20,7 +20,7 @@
 
 func newQuota() *startquota.Quota {
 	q := startquota.New(start)
-	q.SetAlone()
+	q.SetUnprecedented()
 	q.SetLimit(limit, slots)
 	return q
 }
@@ -164,6 +164,10 @@
 	q.SetLimit(limit, slots)
 	q.Seen(start, "g0", startquota.Report{Process: 1})
 	q.Divide(start, evenly(1))
+	g.Expect(q.Lease("g0").Starts).To(BeNumerically("~", limit/5, 1))
+	second := start.Add(startquota.Window + startquota.MaxSendDelay)
+	q.Seen(second, "g0", startquota.Report{Process: 1})
+	q.Divide(second, evenly(1))
 	g.Expect(q.Lease("g0").Starts).To(BeNumerically("~", limit*2/5, 1))
 	later := start.Add(startquota.LeaseTime + startquota.Window + startquota.MaxSendDelay)
 	q.Seen(later, "g0", startquota.Report{Process: 1})
@@ -183,7 +187,7 @@
 	s.Place()
 	g.Expect(s.Used(start)).To(Equal(2))
 	g.Expect(s.Start(start, 1)).To(BeTrue())
-	s.SetPermit(startquota.Permit{Starts: 1, Until: start.Add(time.Second)})
+	s.SetPermit(startquota.Permit{Starts: 1, Boot: 1, Until: start.Add(time.Second)})
 	g.Expect(s.Start(start, 1)).To(BeFalse(), "the permit was lowered after the call was placed")
 	s.Withdraw()
 	g.Expect(s.Used(start)).To(Equal(1))
