A suspect engine keeps dividing its slots and starts as a last resort

What callers could see: if all engines are suspect, no call is sent for seconds: the only engine, declared unreachable by its agent although it answers, or held off after overdue calls, got nothing from the fourth second on.

Cause: gateways reported no demand for engines that are unreachable or held off; after 3 s the agent dropped their slots, and with them their leases, while placement still used such engines when no other is eligible.

Why it works: they report a demand of zero calls there, which counts as the least that an agent divides by. TestTheOnlyEngineIsStillUsedSecondsAfterItBecameSuspect failed before in both cases and passes.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -52,12 +52,14 @@
 // addSlotDemand divides the expected load of a service among its engines. Engines
 // nearby get a larger part, to limit the traffic between regions. An engine that will
 // become ready gets the demand that it would have then, so that its slots are divided when
-// the first calls are placed.
+// the first calls are placed. One that is suspect is wanted as a last resort only.
 func (p *Placer) addSlotDemand(now boottime.Instant, service core.ServiceID, list []*endpointState, demands map[string]slotshare.Demand) {
 	var ready, coming []*endpointState
 	for _, e := range list {
 		switch {
-		case e.profile == nil || !p.reachable(now, e):
+		case e.profile == nil || e.Draining || p.view.ZonesOut[e.Zone]:
+		case e.suspect(now):
+			demands[e.Address] = slotshare.Demand{Open: e.usedSlots()}
 		case p.servable(now, e):
 			ready = append(ready, e)
 		default:
@@ -111,11 +113,10 @@
 
 // usable reports whether an endpoint may receive new calls now.
 func (p *Placer) usable(now boottime.Instant, e *endpointState) bool {
-	return p.reachable(now, e) && (e.profile == nil || p.servable(now, e))
+	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.suspect(now) && (e.profile == nil || p.servable(now, e))
 }
 
-// reachable reports whether an endpoint could receive new calls if it serves the declared
-// weights.
-func (p *Placer) reachable(now boottime.Instant, e *endpointState) bool {
-	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.status.Unreachable && !e.health.backingOff(now)
+// suspect reports whether calls should rather go to other endpoints.
+func (e *endpointState) suspect(now boottime.Instant) bool {
+	return e.status.Unreachable || e.health.backingOff(now)
 }
