A permit names the start of its engine, also while that is unreachable

What callers could see: an endpoint without an agent that takes the address of an engine which is gone gets no calls any more.

Cause: a permit without a boot time took over that of the permit before, which was meant for an engine that its agent can't reach.

Why it works: the agent names the last known start of an unreachable engine, and one that it has never reached is leased to nobody. TestAPlainEndpointAtTheFormerAddressOfAnEngineGetsCalls failed before and passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -214,7 +214,7 @@
 	a.failedPolls++
 	if a.failedPolls >= unreachableAfter && !a.status.GetUnreachable() {
 		a.log.Warn("The engine does not respond; gateways are notified that it is unreachable.", "err", err)
-		a.publish(&peerpb.EngineNews{Engine: a.config.EngineAddress, Unreachable: true})
+		a.publish(&peerpb.EngineNews{Engine: a.config.EngineAddress, Boot: a.boot, Unreachable: true})
 	}
 }
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -52,9 +52,11 @@
 
 // startPermit returns the permit by the lease in a status. It ends LeaseTime after this process sent the
 // message that the agent had received last, so that the agent never gives a lease away
-// before its end. An engine that responds and has no weights is leased to nobody.
+// before its end. An engine that has never responded, or that responds and has no weights,
+// is leased to nobody.
 func startPermit(status *peerpb.EngineNews) startquota.Permit {
-	if status.GetEchoMs() == 0 || !status.GetUnreachable() && status.GetVersion() == 0 {
+	withoutWeights := !status.GetUnreachable() && status.GetVersion() == 0
+	if status.GetEchoMs() == 0 || status.GetBoot() == 0 || withoutWeights {
 		return startquota.Permit{}
 	}
 	sent := boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond)
--- a/startquota/sender.go
+++ b/startquota/sender.go
@@ -24,14 +24,8 @@
 	placed int
 }
 
-// SetPermit replaces the permit. One without a boot time holds for the same start of the
-// endpoint as the one before.
-func (s *Sender) SetPermit(permit Permit) {
-	if permit.Boot == 0 {
-		permit.Boot = s.permit.Boot
-	}
-	s.permit = permit
-}
+// SetPermit replaces the permit.
+func (s *Sender) SetPermit(permit Permit) { s.permit = permit }
 
 // Permit returns the present permit.
 func (s *Sender) Permit() Permit { return s.permit }
