An agent takes slots and limits from the newest declaration alone

What callers could see: a gateway that can't reach the store and reconnects last restores an old limit, 120 starts in place of 30; one of an older build sends no limit, and nobody gets a lease.

Cause: the last message won, whatever the age of its declaration.

Why it works: the values carry the revision of the declaration from which they were taken, and an older one changes nothing. A revision alone is not sent again, so that the messages don't grow with the changes of routes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,6 +116,9 @@
 	// receive within a second.
 	divider *slotshare.Divider
 	quota   *startquota.Quota
+	// revision and version are those of the declaration from which the slots and the limit
+	// of call starts were taken.
+	revision, version int64
 	// switchAt is the time of the planned weight switch, 0 if none is planned.
 	switchAt boottime.Instant
 	// declared are the declared versions of each model. declaredChanges counts the changes
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -169,10 +170,7 @@
 	if message.GetGateway() != "" {
 		f.gateway, f.region, f.process = message.GetGateway(), message.GetRegion(), message.GetProcess()
 	}
-	if slots := message.GetFleet().GetSlots(); slots > 0 {
-		a.divider.SetSlots(int(slots))
-		a.quota.SetLimit(int(message.GetFleet().GetMaxStarts()), int(slots))
-	}
+	a.applyLimits(message.GetFleet())
 	if f.gateway != "" && message.GetSentMs() != 0 {
 		a.quota.Seen(boottime.Now(), f.gateway, startquota.Report{Process: f.process, Number: message.GetLeaseNumber(), Sent: int(message.GetStartsSent())})
 	}
@@ -191,6 +189,19 @@
 	}
 }
 
+// applyLimits takes the engine's slots and its limit of call starts from a declaration that
+// is not older than the last one. Gateways that can't reach the store have older ones. The
+// caller must hold a.mu.
+func (a *Agent) applyLimits(declared *peerpb.FleetNews) {
+	order := cmp.Or(cmp.Compare(declared.GetRevision(), a.revision), cmp.Compare(declared.GetVersion(), a.version))
+	if declared.GetSlots() == 0 || order < 0 {
+		return
+	}
+	a.revision, a.version = declared.GetRevision(), declared.GetVersion()
+	a.divider.SetSlots(int(declared.GetSlots()))
+	a.quota.SetLimit(int(declared.GetMaxStarts()), int(declared.GetSlots()))
+}
+
 // nextStatus returns the status to send to the gateway, nil if none is due, and a
 // channel that is closed at the next change.
 func (f *follower) nextStatus() (*peerpb.EngineNews, <-chan struct{}) {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -141,13 +141,20 @@
 			go a.follow(ctx, address, link)
 			continue
 		}
-		if !proto.Equal(link.fleet, update.fleet) || !proto.Equal(link.engines, update.engines) {
+		if !sameFleet(link.fleet, update.fleet) || !proto.Equal(link.engines, update.engines) {
 			link.fleet, link.engines = update.fleet, update.engines
 			link.wake()
 		}
 	}
 }
 
+// sameFleet reports whether two updates differ in their revision at most.
+func sameFleet(x, y *peerpb.FleetNews) bool {
+	z := proto.CloneOf(y)
+	z.Revision = x.GetRevision()
+	return proto.Equal(x, z)
+}
+
 func (a *agents) inOwnRegion(engines *peerpb.FleetMembers, address string) bool {
 	return slices.ContainsFunc(engines.GetMembers(), func(m *peerpb.FleetMember) bool {
 		return m.GetAddress() == address && m.GetRegion() == string(a.gateway.config.Relay.Region)
@@ -200,7 +207,7 @@
 
 func (a *agents) fleetUpdate(view *fleet.View, service core.ServiceID) *peerpb.FleetNews {
 	profile := view.Deployment.Services[service].Engine
-	update := &peerpb.FleetNews{Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
+	update := &peerpb.FleetNews{Revision: view.Deployment.Revision, Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
 	update.Model, update.Version = view.TargetVersion(service, profile)
 	update.MaxStarts = uint32(a.scheduler.maxStarts(service))
 	for _, backend := range view.Deployment.Services {
