A call that was not sent keeps its engine as a candidate

What callers could see: a permit that ends while the connection is opened takes the engine from the call's candidates; with one engine the call is rejected.

Cause: the endpoint was noted as tried before MayStart was asked. Withdrawn calls were rare before calls needed a permit.

Why it works: an attempt that was withdrawn is taken off the list.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -392,6 +392,9 @@
 		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(),
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision), "err", err)
+	if withdrawn {
+		s.tried = s.tried[:len(s.tried)-1] // the endpoint may have the call later
+	}
 	if withdrawn && s.ctx.Err() == nil && s.rejectedSends < maxRejectedSends {
 		return stepRetryApproved // nothing reached an endpoint, so no retry budget is used
 	}
