Gateways and agents renew leases of call starts twice per second

A status that arrives after its stream was given up is not applied, and a loan without time to send is given back.

--- a/agent/follower.go
+++ b/agent/follower.go
@@ -30,7 +30,7 @@
 	unchangedLoadWait = time.Hour
 	// leaseRenewal is how often a gateway that holds a lease of call starts is sent a
 	// status, which renews it.
-	leaseRenewal = time.Second
+	leaseRenewal = 500 * time.Millisecond
 	// relaysInterval batches changes of the relays, since many gateways may start at
 	// once.
 	relaysInterval = 400 * time.Millisecond
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -33,6 +33,9 @@
 	// demandRepeat is how often an unchanged demand is sent to an agent, and how often
 	// any demand is sent to an agent of another region.
 	demandRepeat = time.Second
+	// leasedDemandRepeat is the same for agents that have leased call starts. It leaves
+	// time for slow links before the lease ends.
+	leasedDemandRepeat = 500 * time.Millisecond
 	// demandThreshold is the relative change of a demand that is sent before the next
 	// repetition.
 	demandThreshold = 0.15
@@ -88,8 +91,9 @@
 	// connected is set while the stream is open.
 	connected bool
 	// lease is the number of the last lease of call starts that was applied on the open
-	// stream.
-	lease uint64
+	// stream. leased is set if it permits calls.
+	lease  uint64
+	leased bool
 }
 
 // wakeAll makes the senders of all streams check for changes.
@@ -235,8 +239,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		a.setDisconnected(link)
 		a.scheduler.endPermit(engine)
+		a.setDisconnected(link)
 		if !disconnected {
 			disconnected = true
 			a.gateway.log.Warn("Lost the connection to an agent; retrying.", "engine", engine, "err", err)
@@ -250,7 +254,7 @@
 func (a *agents) setDisconnected(link *agentLink) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	link.connected, link.lease = false, 0
+	link.connected, link.lease, link.leased = false, 0, false
 }
 
 func (a *agents) stream(ctx context.Context, engine string, link *agentLink, disconnected *bool) error {
@@ -277,6 +281,9 @@
 		if err != nil {
 			return err
 		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		conn.RecordProgress()
 		if *disconnected {
 			*disconnected = false
@@ -299,6 +306,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	link.version, link.reported, link.connected = status.GetVersion(), true, true
+	link.leased = status.GetStarts() > 0
 	if link.lease != status.GetLeaseNumber() {
 		link.lease = status.GetLeaseNumber()
 		link.wake()
@@ -426,7 +434,7 @@
 			link.demandAt = now
 			link.wake()
 		}
-		if !known || link.demand != nil && now.Sub(link.demandAt) < demandRepeat && (!link.sameRegion || !demandChanged(link.demand, demand)) {
+		if !known || link.demand != nil && now.Sub(link.demandAt) < link.demandRepeat() && (!link.sameRegion || !demandChanged(link.demand, demand)) {
 			continue
 		}
 		link.demand, link.demandAt = &peerpb.SlotWant{Calls: float32(demand.Calls), Open: uint32(demand.Open)}, now
@@ -434,6 +442,14 @@
 	}
 }
 
+// demandRepeat returns how often an unchanged demand is sent. Each message extends a lease.
+func (link *agentLink) demandRepeat() time.Duration {
+	if link.leased {
+		return leasedDemandRepeat
+	}
+	return demandRepeat
+}
+
 func demandChanged(sent *peerpb.SlotWant, demand slotshare.Demand) bool {
 	return int(sent.GetOpen()) != demand.Open || math.Abs(float64(sent.GetCalls())-demand.Calls) > demandThreshold*demand.Calls
 }
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -138,7 +138,7 @@
 		borrowed := slotLease{peer: address, number: reply.GetLoan()}
 		expected := time.Duration(reply.GetExpectedMs()) * time.Millisecond
 		sendBy := requestedAt.Add(time.Duration(reply.GetStartWithinMs()) * time.Millisecond)
-		if l.scheduler.placeBorrowed(ticket, fleet.EndpointID(reply.GetEngine()), expected, sendBy, borrowed) {
+		if reply.GetStartWithinMs() > 0 && l.scheduler.placeBorrowed(ticket, fleet.EndpointID(reply.GetEngine()), expected, sendBy, borrowed) {
 			leaseCounts.Add("borrowed", 1)
 			return true
 		}
