--- a/gateway/withdrawn_test.go
+++ b/gateway/withdrawn_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/logging"
@@ -20,7 +21,7 @@
 	ticket, decision := s.place(context.Background(), waitingCall())
 	g.Expect(decision.Verdict).To(Equal(placement.Place))
 	call := &session{
-		gateway: &Gateway{scheduler: s, log: logging.Discard()}, admitted: &admitted{call: &forward.Call{}}, ctx: context.Background(),
+		gateway: &Gateway{scheduler: s, log: logging.Discard(), now: boottime.Now}, admitted: &admitted{call: &forward.Call{}}, ctx: context.Background(),
 		tried: []fleet.EndpointID{decision.Endpoint.ID},
 	}
 	g.Expect(call.attemptFailed(ticket, decision, forward.ErrWithdrawn)).To(Equal(stepRetryApproved))
