All of an engine's leased starts are used, and none under a former agent is forgotten

What callers could see: with one slot each, gateways held one start a second where the limit allowed more, so that an engine with short calls stood partly idle (.36 to .5 of the possible calls in 204 of 10,000 schedules without faults); and a new agent of an engine with a limit of 1 leased it again at once (83 of 10,000 schedules with restarts of the agent, 194 with these alone, up to twice the limit).

Cause: starts were rounded down for each gateway; parts of a small limit were rounded down and then raised to one in each phase.

Why it works: fractions are handed on from gateway to gateway, so that all starts are leased; the usual part is rounded up and an agent begins with exactly what its predecessor left.

--- a/startquota/divide.go
+++ b/startquota/divide.go
@@ -61,28 +61,30 @@
 
 // shared returns how many starts all gateways may hold together.
 func (q *Quota) shared(now boottime.Instant) int {
-	share, age := usualShare, now.Sub(q.startedAt)
+	usual, age := q.part(usualShare), now.Sub(q.startedAt)
 	switch {
 	case q.unprecedented:
+		return usual
 	case age < holdTime:
-		share = firstShare
+		return q.limit - usual
 	case age < LeaseTime+holdTime:
-		share = secondShare
+		return q.part(succeedingShare)
 	}
-	return max(q.limit*share/shareDenominator, min(q.limit, 1))
+	return usual
+}
+
+// part returns a part of the limit, rounded up.
+func (q *Quota) part(share int) int {
+	return (q.limit*share + shareDenominator - 1) / shareDenominator
 }
 
 // startsFor returns the starts that a gateway should have for the slots that it may fill.
-// If there are fewer starts than slots, they go to the first slots in the order of the
-// gateways' names.
+// Fractions go to gateways in the order of their names.
 func (q *Quota) startsFor(now boottime.Instant, gateway string, slotsOf func(string) int) int {
 	slots, shared := slotsOf(gateway), q.shared(now)
 	if slots == 0 || q.slots == 0 {
 		return 0
 	}
-	if shared >= q.slots {
-		return slots * shared / q.slots
-	}
 	before := 0
 	for name := range q.holders {
 		if name < gateway {
--- a/startquota/quota.go
+++ b/startquota/quota.go
@@ -31,12 +31,11 @@
 
 // Parts of the limit that are leased, of shareDenominator. A process that succeeds another
 // one leases what that one left for holdTime, in which the former one's calls count. Then
-// it leases more until the leases of the former process have ended; gateways drop these
-// when their connection to it is reset.
+// it leases succeedingShare until the leases of the former process have ended; gateways drop
+// these when their connection to it is reset.
 const (
 	usualShare       = 4
-	firstShare       = 1
-	secondShare      = 2
+	succeedingShare  = 2
 	shareDenominator = 5
 )
 
--- a/startquota/schedules_test.go
+++ b/startquota/schedules_test.go
@@ -333,10 +333,10 @@
 }
 
 // The limit is used at least by half when calls wait at all gateways, as far as the slots
-// permit. A limit of 2 is excepted: one call in a second is all that is leased of it.
+// permit.
 func TestSchedulesWithoutFaultsUseHalfOfTheLimit(t *testing.T) {
 	first, count := scheduleSeeds(200)
-	least, excepted := 1.0, 0
+	least := 1.0
 	for seed := first; seed < first+count; seed++ {
 		m := newModel(seed, faults{})
 		m.clock.RunUntil(modelStart.Add(scheduleSettle))
@@ -347,16 +347,12 @@
 		if violation != "" {
 			t.Errorf("seed %d: %s", seed, violation)
 		}
-		if m.limit == 2 {
-			excepted++
-			continue
-		}
 		least = min(least, use)
 		if use < 0.5 {
 			t.Errorf("seed %d: %d gateways, limit %d, %d slots, calls of %s: %.1f calls a second, %.2f of what is possible", seed, len(m.gateways), m.limit, m.slots, m.callTime, rate, use)
 		}
 	}
-	t.Logf("%d schedules from seed %d, at least %.2f used, %d with limit 2 not checked", count, first, least, excepted)
+	t.Logf("%d schedules from seed %d, at least %.2f used", count, first, least)
 }
 
 // The scheme before leases, each gateway a twelfth of the limit but at least one call a
