--- a/agent/follower.go
+++ b/agent/follower.go
@@ -199,7 +199,10 @@
 	}
 	a.revision, a.version = declared.GetRevision(), declared.GetVersion()
 	a.divider.SetSlots(int(declared.GetSlots()))
-	a.quota.SetLimit(int(declared.GetMaxStarts()), int(declared.GetSlots()))
+	if a.quota.SetLimit(int(declared.GetMaxStarts()), int(declared.GetSlots())) {
+		a.log.Info("Slots and limit of calls per second declared.", "slots", declared.GetSlots(), "limit", declared.GetMaxStarts(),
+			"revision", a.revision, "version", a.version)
+	}
 }
 
 // nextStatus returns the status to send to the gateway, nil if none is due, and a
--- a/startquota/divide.go
+++ b/startquota/divide.go
@@ -30,14 +30,17 @@
 	}
 	changed := false
 	q.gateways = 0
-	free := q.shared(now) - used
+	shared, before := q.shared(now), 0
+	free := shared - used
 	for _, gateway := range slices.Sorted(maps.Keys(q.holders)) {
 		h := q.holders[gateway]
 		if len(h.leases) == 0 {
 			continue
 		}
 		q.gateways++
-		free = q.renew(now, h, q.startsFor(now, gateway, slotsOf), free, &changed)
+		slots := slotsOf(gateway)
+		free = q.renew(now, h, q.startsFor(shared, before, slots), free, &changed)
+		before += slots
 	}
 	return changed
 }
@@ -78,18 +81,11 @@
 	return (q.limit*share + shareDenominator - 1) / shareDenominator
 }
 
-// startsFor returns the starts that a gateway should have for the slots that it may fill.
-// Fractions go to gateways in the order of their names.
-func (q *Quota) startsFor(now boottime.Instant, gateway string, slotsOf func(string) int) int {
-	slots, shared := slotsOf(gateway), q.shared(now)
-	if slots == 0 || q.slots == 0 {
+// startsFor returns how many of the shared starts belong to a gateway's slots, which follow
+// the given number of slots of other gateways. Fractions are handed on to the next gateway.
+func (q *Quota) startsFor(shared, before, slots int) int {
+	if q.slots == 0 {
 		return 0
 	}
-	before := 0
-	for name := range q.holders {
-		if name < gateway {
-			before += slotsOf(name)
-		}
-	}
 	return (before+slots)*shared/q.slots - before*shared/q.slots
 }
--- a/startquota/quota.go
+++ b/startquota/quota.go
@@ -106,8 +106,12 @@
 }
 
 // SetLimit sets how many calls all gateways together may send within a Window, 0 for no
-// limit, and how many calls the endpoint runs at once.
-func (q *Quota) SetLimit(limit, slots int) { q.limit, q.slots = limit, slots }
+// limit, and how many calls the endpoint runs at once. It reports whether that changed.
+func (q *Quota) SetLimit(limit, slots int) bool {
+	changed := limit != q.limit || slots != q.slots
+	q.limit, q.slots = limit, slots
+	return changed
+}
 
 // Gateways returns the number of gateways that had sent a message within LeaseTime at the
 // last Divide.
