All of a cold engine's limit is leased, and starts move only if they are missed

What callers could see: an engine that has just become ready stands partly idle while calls are rejected.

Cause, from a trace of the leases every 0.1 s: 3 to 13 of 14 starts were in use. Starts followed slots at once, and one that moves is unused until the calls of the last second are over; a fifth of the limit was kept for an agent that restarts.

A call counts for 1.1 s, since a gateway that waits for its processor writes it late.

--- a/startquota/divide.go
+++ b/startquota/divide.go
@@ -7,9 +7,9 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 )
 
-// Divide ends the leases of gateways that sent no message within LeaseTime, and renews the
-// leases of the others by the slots that they may fill, as far as calls are free. It
-// reports whether a lease changed.
+// Divide ends the leases of gateways that sent no message within LeaseTime, and replaces the
+// leases of the others by their shares. A gateway gets more starts as far as some are free,
+// and loses some only if others miss them. It reports whether a lease changed.
 func (q *Quota) Divide(now boottime.Instant, slotsOf func(gateway string) int) bool {
 	used := 0
 	q.former = current(now, q.former)
@@ -28,64 +28,81 @@
 		}
 		used += charge
 	}
+	shares := q.shares(now, slotsOf)
+	q.gateways = len(shares)
+	free := q.shared(now) - used
+	missing := -free
+	for _, s := range shares {
+		missing += max(s.starts-s.holder.charge(now), 0)
+	}
 	changed := false
-	q.gateways = 0
-	shared, before := q.shared(now), 0
-	free := shared - used
-	for _, gateway := range slices.Sorted(maps.Keys(q.holders)) {
-		h := q.holders[gateway]
-		if len(h.leases) == 0 {
-			continue
+	for _, s := range shares {
+		lease, charge := s.holder.newest().Starts, s.holder.charge(now)
+		starts := lease
+		switch {
+		case s.starts < lease:
+			starts = max(s.starts, lease-max(missing, 0))
+			missing -= lease - starts
+		case s.starts > lease:
+			starts = min(s.starts, charge+max(free, 0))
+			free -= max(starts-charge, 0)
+		}
+		if starts != lease {
+			s.holder.leases = append(s.holder.leases, Lease{Number: q.next(), Starts: starts})
+			changed = true
 		}
-		q.gateways++
-		slots := slotsOf(gateway)
-		free = q.renew(now, h, q.startsFor(shared, before, slots), free, &changed)
-		before += slots
 	}
 	return changed
 }
 
-// renew replaces a gateway's lease if it should have another number of starts, and returns
-// how many starts remain free. A lower number takes effect at once; a higher one needs free
-// starts beyond those that the gateway is charged with already.
-func (q *Quota) renew(now boottime.Instant, h *holder, want, free int, changed *bool) int {
-	newest, charge := h.newest().Starts, h.charge(now)
-	if want > charge {
-		want = min(want, charge+max(free, 0))
-		free -= max(want-charge, 0)
+// share is the number of starts that a gateway should have, between least and most.
+type share struct {
+	holder              *holder
+	starts, least, most int
+}
+
+// shares divides the shared starts by the slots that gateways may fill, in the order of
+// their names. A gateway keeps a lease within a start of its exact share, since a start that
+// moves is not used for a Window.
+func (q *Quota) shares(now boottime.Instant, slotsOf func(gateway string) int) []share {
+	shared := q.shared(now)
+	left := shared
+	var shares []share
+	for _, gateway := range slices.Sorted(maps.Keys(q.holders)) {
+		h := q.holders[gateway]
+		if len(h.leases) == 0 {
+			continue
+		}
+		s := share{holder: h}
+		if slots := slotsOf(gateway); slots > 0 && q.slots > 0 {
+			s.least = slots * shared / q.slots
+			s.most = (slots*shared + q.slots - 1) / q.slots
+		}
+		s.starts = s.least
+		left -= s.starts
+		shares = append(shares, s)
 	}
-	if want == newest {
-		return free
+	for _, keep := range []bool{true, false} {
+		for i := range shares {
+			s := &shares[i]
+			if left > 0 && s.starts < s.most && (!keep || s.holder.newest().Starts >= s.most) {
+				s.starts++
+				left--
+			}
+		}
 	}
-	h.leases = append(h.leases, Lease{Number: q.next(), Starts: want})
-	*changed = true
-	return free
+	return shares
 }
 
-// shared returns how many starts all gateways may hold together.
+// shared returns how many starts all gateways may hold together. A process that may succeed
+// another one leases none for holdTime, in which the former one's calls count.
 func (q *Quota) shared(now boottime.Instant) int {
-	usual, age := q.part(usualShare), now.Sub(q.startedAt)
+	age := now.Sub(q.startedAt)
 	switch {
-	case q.unprecedented:
-		return usual
-	case age < holdTime:
-		return q.limit - usual
-	case age < LeaseTime+holdTime:
-		return q.part(succeedingShare)
-	}
-	return usual
-}
-
-// part returns a part of the limit, rounded up.
-func (q *Quota) part(share int) int {
-	return (q.limit*share + shareDenominator - 1) / shareDenominator
-}
-
-// startsFor returns how many of the shared starts belong to a gateway's slots, which follow
-// the given number of slots of other gateways. Fractions are handed on to the next gateway.
-func (q *Quota) startsFor(shared, before, slots int) int {
-	if q.slots == 0 {
-		return 0
+	case q.unprecedented || age >= LeaseTime+holdTime:
+		return q.limit
+	case age >= holdTime:
+		return (q.limit*succeedingShare + shareDenominator - 1) / shareDenominator
 	}
-	return (before+slots)*shared/q.slots - before*shared/q.slots
+	return 0
 }
--- a/startquota/quota.go
+++ b/startquota/quota.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// Window is the time over which calls are counted against a limit.
-	Window = time.Second
+	// writeTime is how long after a call was counted it may be written to its connection, by
+	// a gateway that waits for its share of a processor.
+	writeTime = 100 * time.Millisecond
+	// Window is the time over which calls are counted against a limit per second.
+	Window = time.Second + writeTime
 	// LeaseTime is how long a gateway may use a lease after it sent the message that the
 	// lease answers. Gateways that hold one send a message about twice per second.
 	LeaseTime = 3 * time.Second
@@ -29,12 +32,10 @@
 	holdTime = Window + MaxSendDelay
 )
 
-// Parts of the limit that are leased, of shareDenominator. A process that succeeds another
-// one leases what that one left for holdTime, in which the former one's calls count. Then
-// it leases succeedingShare until the leases of the former process have ended; gateways drop
-// these when their connection to it is reset.
+// succeedingShare is the part of the limit, of shareDenominator, that a process leases until
+// the leases of a former process have ended. Gateways drop these when their connection to it
+// is reset.
 const (
-	usualShare       = 4
 	succeedingShare  = 2
 	shareDenominator = 5
 )
