--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -37,6 +37,9 @@
 	Registered uint64
 	// SeenAt is when this process received the entry.
 	SeenAt boottime.Instant
+	// Unregistered is set while the endpoint has no entry but is kept, since its entry may
+	// have expired in an outage of the store.
+	Unregistered bool
 }
 
 // LoadedLayers is a range of layers of one version that an engine has loaded.
@@ -114,6 +117,14 @@
 	return model, version
 }
 
+// DeclarationRevision returns the revision of the operators' declaration, 0 if none is known.
+func (v *View) DeclarationRevision() int64 {
+	if v.Deployment == nil {
+		return 0
+	}
+	return v.Deployment.Revision
+}
+
 // clone returns a copy of the view whose maps may be modified.
 func (v *View) clone() *View {
 	next := *v
--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -112,7 +112,7 @@
 	}
 	switch r := record.(type) {
 	case DeploymentRecord:
-		t.applyDeployment(next, r.Deployment, change.Revision)
+		t.applyDeployment(next, r.Deployment, change)
 	case VersionRecord:
 		if r.Version > next.Versions[r.Model] {
 			t.applyVersion(next, r, change)
@@ -144,13 +144,17 @@
 	return now.Sub(at).Milliseconds()
 }
 
-func (t *Tracker) applyDeployment(next *View, deployment *catalogue.Deployment, revision uint64) {
+// applyDeployment applies a declaration that is not older than the active one.
+// next.ConfirmedAt is still the confirmation of the view without it.
+func (t *Tracker) applyDeployment(next *View, deployment *catalogue.Deployment, change metastore.Change) {
 	if next.Deployment != nil && deployment.Revision < next.Deployment.Revision {
-		t.log.Warn("Declaration older than the active one; ignoring it.", "version", deployment.Revision, "known", next.Deployment.Revision, "revision", revision)
+		t.log.Warn("Declaration older than the active one; ignoring it.", "version", deployment.Revision, "known", next.Deployment.Revision, "revision", change.Revision)
 		return
 	}
 	if next.Deployment == nil || deployment.Revision != next.Deployment.Revision {
-		t.log.Info("Declaration active.", "version", deployment.Revision, "routes", len(deployment.Routes), "teams", len(deployment.Teams), "revision", revision)
+		now := t.now()
+		t.log.Info("Declaration active.", "version", deployment.Revision, "routes", len(deployment.Routes), "teams", len(deployment.Teams),
+			"revision", change.Revision, "bytes", len(change.Value), "ageMs", ageMs(now, change.MadeAt), "unconfirmedMs", ageMs(now, next.ConfirmedAt))
 	}
 	next.Deployment = deployment
 }
@@ -165,7 +169,8 @@
 	delete(t.missing, endpoint.ID)
 	if before == nil || before.Draining != endpoint.Draining || before.Boot != endpoint.Boot {
 		t.log.Info("Endpoint registered.", "endpoint", endpoint.ID, "service", endpoint.Service, "address", endpoint.Address,
-			"zone", endpoint.Zone, "draining", endpoint.Draining, "coldMs", endpoint.ColdFor.Milliseconds(), "weights", len(endpoint.Weights), "revision", revision)
+			"zone", endpoint.Zone, "draining", endpoint.Draining, "coldMs", endpoint.ColdFor.Milliseconds(), "weights", len(endpoint.Weights), "revision", revision,
+			"unconfirmedMs", ageMs(endpoint.SeenAt, next.ConfirmedAt))
 	}
 }
 
@@ -200,7 +205,7 @@
 	case EndpointRecord:
 		if _, known := next.Endpoints[r.Endpoint.ID]; known {
 			delete(next.Endpoints, r.Endpoint.ID)
-			t.log.Info("Endpoint removed.", "endpoint", r.Endpoint.ID)
+			t.log.Info("Endpoint removed.", "endpoint", r.Endpoint.ID, "unconfirmedMs", ageMs(t.now(), next.ConfirmedAt))
 		}
 	}
 }
@@ -260,7 +265,9 @@
 		if _, registered := next.Endpoints[id]; registered || taken[endpoint.Address] {
 			continue
 		}
-		next.Endpoints[id] = endpoint
+		kept := *endpoint
+		kept.Unregistered = true
+		next.Endpoints[id] = &kept
 		if _, missing := t.missing[id]; !missing {
 			t.missing[id] = t.now().Add(reregistrationGrace)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,7 +59,7 @@
 	view, admittedAt := g.tracker.View(), g.now()
 	a, rejected := g.check(view, call, arrived, admittedAt)
 	if rejected != nil {
-		g.reject(w, call, rejected, "ageMs", admittedAt.Sub(view.ConfirmedAt).Milliseconds())
+		g.reject(w, call, rejected, "ageMs", admittedAt.Sub(view.ConfirmedAt).Milliseconds(), "declaration", view.DeclarationRevision())
 		return
 	}
 	g.budgets.earn(a.service)
@@ -344,6 +344,7 @@
 	g.log.Info("Attempt ended.", "request", s.admitted.call.ID, "route", s.admitted.route.Name, "endpoint", endpoint.ID,
 		"status", answer.Status, "ending", outcome, "events", s.events, "patienceMs", s.admitted.call.Timeout.Milliseconds(), "returned", s.admitted.retried, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "ms", g.now().Sub(sent).Milliseconds(),
+		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "ranOn", answer.Classification.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision),
 		"begunMs", s.begunMs(), "parts", s.admitted.call.SharedParts,
@@ -390,6 +391,7 @@
 	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent, "outcome", outcome,
 		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", s.admitted.call.SharedParts,
 		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(),
+		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision), "err", err)
 	if withdrawn {
@@ -413,6 +415,7 @@
 	s.rejectedSends++
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Info("Endpoint rejected the call.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status,
-		"misdirected", answer.Classification.Misdirected, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds())
+		"misdirected", answer.Classification.Misdirected, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
+		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered)
 	return stepRetry
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -242,6 +242,7 @@
 		ticket.decision.Weights = e.version(now)
 		ticket.decision.NewestWeights, ticket.decision.SupersededFor = p.supersededFor(now, e, ticket.decision.Weights)
 	}
+	ticket.decision.ViewAge, ticket.decision.Unregistered = now.Sub(p.view.ConfirmedAt), e.Unregistered
 	p.recordLimits(now, ticket, e)
 	ticket.endpoint, ticket.sentAt = e, now
 	e.open[ticket] = struct{}{}
--- a/placement/request.go
+++ b/placement/request.go
@@ -82,6 +82,10 @@
 	// this process, -1 for none, as of GrantAge ago.
 	StartLimit, Starts, Granted int
 	GrantAge, SendWithin        time.Duration
+	// ViewAge is the age of the view of the fleet, Unregistered whether the endpoint had no
+	// entry in the store.
+	ViewAge      time.Duration
+	Unregistered bool
 	// Waited is the time spent in the queue.
 	Waited time.Duration
 	// Candidates is the number of eligible endpoints.
