--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -131,6 +131,22 @@
 	g.Expect(sink.log).To(Equal([]string{"replace", "apply", "replace", "apply"}))
 }
 
+// Load pattern: the watches of all gateways of a region are cut while the link is busy. A
+// full read after each would send everything over it again.
+func TestAFollowerContinuesFromItsRevisionAfterAFailedCall(t *testing.T) {
+	g := NewWithT(t)
+	outage := errors.New("connection lost")
+	store, _ := follow(t, answer(3), failure(outage), failure(outage), answer(4), answer(5))
+	g.Expect(store.calls).To(Equal([]string{"read", "watch", "watch", "watch", "watch", "watch"}))
+}
+
+func TestAFollowerWhoseHistoryIsGoneAfterAnOutageReadsEverything(t *testing.T) {
+	g := NewWithT(t)
+	store, sink := follow(t, answer(3), failure(errors.New("store down")), failure(metastore.ErrCompacted), answer(9), answer(10))
+	g.Expect(store.calls).To(Equal([]string{"read", "watch", "watch", "read", "watch", "watch"}))
+	g.Expect(sink.log).To(Equal([]string{"replace", "disconnected", "recovered", "apply"}))
+}
+
 func TestAnOutageIsToldOnceAndTheReturnAsRecovered(t *testing.T) {
 	g := NewWithT(t)
 	outage := errors.New("store down")
