A large declaration reaches all gateways behind one link, however long it takes

Cause: a store call had a fixed time for its whole answer, 1.5 s a page and 1.5 s after the wait of a watch. Twelve gateways of a region read 540 KB each over one link that needs 1.7 s for all of them; none got a whole answer, each read everything again from the first byte, and the link stayed full. The incident's monitoring shows it: 7 MB arrive at kamloops-yard in seconds 35, 37, 39 and 41, twelve new calls follow each time, and the view of front-kamloops-yard-11 ages without a break to 9.5 s.

A change counts as made when the answer with it began, not when it had arrived.

--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -13,10 +13,12 @@
 	"github.com/zinniaseam/zinniaseam/metastore"
 )
 
-// reregistrationGrace is how long an endpoint is kept whose entry is missing after a
-// store outage. Live endpoints register again within two seconds of the store's
-// recovery.
-const reregistrationGrace = 2 * time.Second
+const (
+	// reregistrationGrace is how long an endpoint is kept whose entry is missing after a
+	// store outage. Live endpoints register again within two seconds of the store's
+	// recovery.
+	reregistrationGrace = 2 * time.Second
+)
 
 // Record is a decoded entry of the store: DeploymentRecord, VersionRecord,
 // ZoneOutRecord or EndpointRecord.
@@ -248,41 +250,60 @@
 		t.apply(next, item)
 	}
 	if recovered {
-		t.keepMissing(before, next)
+		t.keepExpired(before, next)
 	}
 	next.ConfirmedAt, next.Revision = confirmed, max(next.Revision, snapshot.Revision)
 	t.publish(next)
 }
 
-// keepMissing keeps the endpoints that are missing after an outage for
+// keepExpired keeps the endpoints whose entries may have expired in an outage for
 // reregistrationGrace, except those whose address has been taken over.
-func (t *Tracker) keepMissing(before, next *View) {
+func (t *Tracker) keepExpired(before, next *View) {
+	missing := missingEndpoints(before, next)
+	if len(missing) == 0 {
+		return
+	}
+	for _, endpoint := range missing {
+		kept := *endpoint
+		kept.Unregistered = true
+		next.Endpoints[kept.ID] = &kept
+		if _, known := t.missing[kept.ID]; !known {
+			t.missing[kept.ID] = t.now().Add(reregistrationGrace)
+		}
+	}
+}
+
+// missingEndpoints returns the endpoints of before that next lacks, except those whose
+// address has been taken over.
+func missingEndpoints(before, next *View) []*Endpoint {
 	taken := make(map[string]bool, len(next.Endpoints))
 	for _, endpoint := range next.Endpoints {
 		taken[endpoint.Address] = endpoint.Address != ""
 	}
+	var missing []*Endpoint
 	for id, endpoint := range before.Endpoints {
-		if _, registered := next.Endpoints[id]; registered || taken[endpoint.Address] {
-			continue
-		}
-		kept := *endpoint
-		kept.Unregistered = true
-		next.Endpoints[id] = &kept
-		if _, missing := t.missing[id]; !missing {
-			t.missing[id] = t.now().Add(reregistrationGrace)
+		if _, registered := next.Endpoints[id]; !registered && !taken[endpoint.Address] {
+			missing = append(missing, endpoint)
 		}
 	}
+	return missing
 }
 
-// Apply implements metastore.Sink.
-func (t *Tracker) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant) {
+// Apply implements metastore.Sink. After an outage, endpoints whose entries have expired are
+// kept for reregistrationGrace.
+func (t *Tracker) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, recovered bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := t.view.Load().clone()
+	before := t.view.Load()
+	next := before.clone()
 	for _, change := range changes {
 		t.apply(next, change)
 	}
-	next.ConfirmedAt, next.Revision = confirmed, max(next.Revision, revision)
+	if recovered {
+		t.log.Info("Store reachable again; applying the changes since.", "revision", revision, "changes", len(changes), "unconfirmedMs", ageMs(t.now(), before.ConfirmedAt))
+		t.keepExpired(before, next)
+	}
+	next.ConfirmedAt, next.Revision = max(next.ConfirmedAt, confirmed), max(next.Revision, revision)
 	t.publish(next)
 }
 
--- a/fleet/tracker_test.go
+++ b/fleet/tracker_test.go
@@ -70,7 +70,7 @@
 	tracker, now := newTracker()
 	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
 	tracker.Replace(metastore.Snapshot{}, *now, true)
-	tracker.Apply([]metastore.Change{item("endpoint/a", "x:1")}, 5, *now)
+	tracker.Apply([]metastore.Change{item("endpoint/a", "x:1")}, 5, *now, false)
 	*now = now.Add(time.Minute)
 	tracker.Expire()
 	g.Expect(tracker.View().Endpoints).To(HaveLen(1))
@@ -80,14 +80,14 @@
 	g := NewWithT(t)
 	tracker, now := newTracker()
 	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
-	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 5, *now)
+	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 5, *now, false)
 	g.Expect(tracker.View().Endpoints).To(BeEmpty())
 }
 
 func TestAnOlderDeclarationNeverReplacesANewerOne(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Apply([]metastore.Change{item("deployment", "1234567")}, 5, *now)
+	tracker.Apply([]metastore.Change{item("deployment", "1234567")}, 5, *now, false)
 	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("deployment", "123")}}, *now, true)
 	g.Expect(tracker.View().Deployment.Revision).To(BeEquivalentTo(7))
 }
@@ -109,14 +109,14 @@
 	other := metastore.Change{Key: "endpoint/c", Value: []byte("10.0.0.2:80"), Created: 4, Revision: 4}
 	ids := func() []fleet.EndpointID { return slices.Sorted(maps.Keys(tracker.View().Endpoints)) }
 	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{old, other}}, *now, false)
-	tracker.Apply([]metastore.Change{young}, 9, *now)
+	tracker.Apply([]metastore.Change{young}, 9, *now, false)
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
 	old.Revision = 10
-	tracker.Apply([]metastore.Change{old}, 10, *now)
+	tracker.Apply([]metastore.Change{old}, 10, *now, false)
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
 	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{young, old, other}}, *now, true)
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
-	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 11, *now)
+	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 11, *now, false)
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
 }
 
--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -18,20 +21,24 @@
 	// openWatch is the time after which a watch without changes is open at the store. A
 	// slow store answers within 0.3 s if there are changes already.
 	openWatch = 600 * time.Millisecond
+	// minWait is the shortest wait of a watch that is not sent to recover.
+	minWait = time.Millisecond
 )
 
-// Sink receives the updates of a Follower. Its methods are called from one goroutine.
+// Sink receives the updates of a Follower. Its methods are not called concurrently.
 type Sink interface {
 	// Replace replaces the content with snapshot, which was complete at confirmed.
-	// recovered is set for the first read after an outage.
+	// recovered is set for the first update after an outage.
 	Replace(snapshot Snapshot, confirmed boottime.Instant, recovered bool)
-	// Apply applies changes. With them, the content was complete at confirmed.
-	Apply(changes []Change, revision uint64, confirmed boottime.Instant)
+	// Apply applies changes. With them, the content was complete at confirmed. recovered is
+	// set for the first update after an outage.
+	Apply(changes []Change, revision uint64, confirmed boottime.Instant, recovered bool)
 	// Disconnected is called once per outage, with the error of the first failed call.
 	Disconnected(err error)
 }
 
-// Follower reads a prefix and then watches it until its context ends.
+// Follower reads a prefix and then watches it until its context ends. After a failed call,
+// it continues from the last revision that it has.
 type Follower struct {
 	Store  Store
 	Prefix string
@@ -44,11 +51,19 @@
 	Sink                      Sink
 	Now                       boottime.Clock
 
-	pause time.Duration
+	pause  time.Duration
+	pauses *boottime.PauseDetector
+
+	// mu is held while an answer is passed to the sink.
+	mu sync.Mutex
+	// revision is that of the content, unless complete is not set.
+	revision uint64
+	complete bool
+	// unavailable is set from the first failed call until one succeeds.
+	unavailable bool
 	// answered is about the time up to which all changes have been read: when the previous
 	// watch was answered, or when the read was sent.
 	answered boottime.Instant
-	pauses   *boottime.PauseDetector
 }
 
 // Run follows the prefix until ctx ends.
@@ -56,30 +71,19 @@
 	f.pauses = boottime.NewPauseDetector(f.Now)
 	go f.pauses.Run(ctx)
 	retry := minRetry
-	unavailable, complete := false, false
-	var revision uint64
 	for ctx.Err() == nil {
-		var err error
-		if !complete {
-			revision, err = f.read(ctx, unavailable)
-		} else {
-			revision, err = f.watch(ctx, revision)
-		}
+		err := f.step(ctx)
 		switch {
 		case err == nil:
-			unavailable, complete, retry = false, true, minRetry
+			retry = minRetry
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrCompacted):
-			complete = false
+			f.setIncomplete()
 			continue
 		}
-		if !unavailable {
-			unavailable = true
-			f.Sink.Disconnected(err)
-		}
-		complete = false
+		f.disconnected(err)
 		if err := kernel.Sleep(ctx, retry/2+rand.N(retry)); err != nil {
 			return err
 		}
@@ -88,57 +92,146 @@
 	return ctx.Err()
 }
 
-func (f *Follower) read(ctx context.Context, recovered bool) (uint64, error) {
+// step performs one watch, or a read if the content is not known.
+func (f *Follower) step(ctx context.Context) error {
+	after, complete, recovering := f.state()
+	switch {
+	case !complete:
+		return f.read(ctx)
+	case recovering:
+		// The store answers at once, so that the process recovers without delay.
+		f.pause = 0
+		return f.watch(ctx, after, 0)
+	}
+	if err := kernel.Sleep(ctx, f.pause); err != nil {
+		return err
+	}
+	return f.watch(ctx, after, max(f.Wait-f.pause, minWait))
+}
+
+func (f *Follower) state() (revision uint64, complete, unavailable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, f.complete, f.unavailable
+}
+
+func (f *Follower) setIncomplete() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.complete = false
+}
+
+func (f *Follower) disconnected(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.unavailable {
+		f.unavailable = true
+		f.Sink.Disconnected(err)
+	}
+}
+
+func (f *Follower) read(ctx context.Context) error {
 	sent := f.Now()
 	snapshot, err := f.Store.Read(ctx, f.Prefix)
 	if err != nil {
-		return 0, err
-	}
-	madeAt := f.answered
-	if recovered && madeAt != 0 {
-		// If the store was away for all processes, nothing was written meanwhile. If it was
-		// away for this process only, other processes know an earlier time.
-		madeAt = f.Now()
+		return err
 	}
-	setMadeAt(snapshot.Items, madeAt, f.pauses.RanSince(f.answered))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	setMadeAt(snapshot.Items, f.outageEnd(), f.pauses.RanSince(f.answered))
 	f.answered = sent
-	f.Sink.Replace(snapshot, sent, recovered)
-	return snapshot.Revision, nil
+	f.Sink.Replace(snapshot, sent, f.unavailable)
+	f.revision, f.complete, f.unavailable = snapshot.Revision, true, false
+	return nil
+}
+
+// outageEnd returns the time from which changes count as made that were read in one step
+// after an outage, or after the history was compacted. If the store was away for all
+// processes, nothing was written in the outage. If it was away for this process only, other
+// processes know an earlier time. The caller must hold mu.
+func (f *Follower) outageEnd() boottime.Instant {
+	if f.unavailable && f.answered != 0 {
+		return f.Now()
+	}
+	return f.answered
 }
 
 // watch performs one watch. It confirms the content as of the time when the call was
 // sent, since the process may have been suspended before it read the answer.
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
-	if err := kernel.Sleep(ctx, f.pause); err != nil {
-		return after, err
-	}
+func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) error {
 	sent := f.Now()
-	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, max(f.Wait-f.pause, 0))
+	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, wait)
 	if err != nil {
-		f.pause = 0
-		return after, err
+		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.setTimes(changes, sent)
-	f.Sink.Apply(changes, revision, sent)
+	f.apply(changes, after, revision, sent)
 	f.pause = f.nextPause(len(changes) > 0, f.Now().Sub(sent))
-	return revision, nil
+	return nil
+}
+
+// apply passes the answer to a watch after a revision to the sink. The caller must hold mu.
+func (f *Follower) apply(changes []Change, after, revision uint64, sent boottime.Instant) {
+	if f.revision > after {
+		// Another watch was answered first.
+		known := f.revision
+		changes = slices.DeleteFunc(changes, func(c Change) bool { return c.Revision <= known })
+	}
+	f.Sink.Apply(changes, max(f.revision, revision), sent, f.unavailable)
+	f.revision, f.unavailable = max(f.revision, revision), false
+}
+
+// ErrNotConfirmed means that the content may have changed, as far as the process knows.
+var ErrNotConfirmed = errors.New("metastore: content not confirmed")
+
+// Confirm reads the changes that the open watch has not returned yet, and so confirms the
+// content as of now. It returns ErrNotConfirmed while the store is unavailable.
+func (f *Follower) Confirm(ctx context.Context) error {
+	after, complete, unavailable := f.state()
+	if !complete || unavailable {
+		return ErrNotConfirmed
+	}
+	sent := f.Now()
+	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, 0)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotConfirmed, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.complete || f.unavailable {
+		return ErrNotConfirmed
+	}
+	if f.pauses.RanSince(f.answered) {
+		setMadeAt(changes, f.answered, true)
+	}
+	f.apply(changes, after, revision, sent)
+	return nil
 }
 
 // setTimes sets the time of the changes that a watch returned. A watch that was open has
 // been answered as soon as they were made; otherwise they were made after the previous
 // answer. If the process was suspended meanwhile, an answer may have waited for it, and
-// the time stays unknown.
+// the time stays unknown. The caller must hold mu.
 func (f *Follower) setTimes(changes []Change, sent boottime.Instant) {
 	ranSinceSent, ranSinceAnswer := f.pauses.RanSince(sent), f.pauses.RanSince(f.answered)
 	now := f.Now()
-	if now.Sub(sent) >= openWatch {
-		setMadeAt(changes, now, ranSinceSent)
-	} else {
+	begun := now
+	if len(changes) > 0 {
+		begun = now.Add(-changes[0].TransferTime)
+	}
+	switch {
+	case f.unavailable:
+		setMadeAt(changes, f.outageEnd(), ranSinceAnswer)
+	case begun.Sub(sent) >= openWatch:
+		setMadeAt(changes, begun, ranSinceSent)
+	default:
 		setMadeAt(changes, f.answered, ranSinceAnswer)
 	}
 	f.answered = sent
 	if ranSinceSent {
-		f.answered = now
+		f.answered = begun
 	}
 }
 
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -53,8 +53,14 @@
 	}
 	s.log = append(s.log, call)
 }
-func (s *sinkLog) Apply([]metastore.Change, uint64, boottime.Instant) { s.log = append(s.log, "apply") }
-func (s *sinkLog) Disconnected(error)                                 { s.log = append(s.log, "disconnected") }
+func (s *sinkLog) Apply(_ []metastore.Change, _ uint64, _ boottime.Instant, recovered bool) {
+	call := "apply"
+	if recovered {
+		call = "recovered"
+	}
+	s.log = append(s.log, call)
+}
+func (s *sinkLog) Disconnected(error) { s.log = append(s.log, "disconnected") }
 
 func answer(revision uint64) func() ([]metastore.Change, uint64, error) {
 	return func() ([]metastore.Change, uint64, error) { return nil, revision, nil }
@@ -160,14 +166,14 @@
 	madeAt []boottime.Instant
 }
 
-func (s *timeSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant) {
+func (s *timeSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant, _ bool) {
 	for _, change := range changes {
 		s.madeAt = append(s.madeAt, change.MadeAt)
 	}
 }
 
 func (s *timeSink) Replace(snapshot metastore.Snapshot, confirmed boottime.Instant, _ bool) {
-	s.Apply(snapshot.Items, 0, confirmed)
+	s.Apply(snapshot.Items, 0, confirmed, false)
 }
 
 // followTimes follows a store whose calls each take a time and return one change, and
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -32,6 +32,8 @@
 	// Created is the revision at which the key was created, 0 for a deleted key.
 	Created uint64
 	Deleted bool
+	// TransferTime is how long the answer with the change took to arrive after it had begun.
+	TransferTime time.Duration
 	// MadeAt is about when the change was made, set by the Follower. It is 0 if the change
 	// may have been made long before it was read.
 	MadeAt boottime.Instant
