Endpoints that left while only this gateway had lost the store get no more calls

Callers' requests reached endpoints that had left (DRAIN).

Cause: after any failed call of its own, a gateway kept every endpoint whose entry was missing for 2 to 2.5 s, as if the store had been away for all and the entries had expired. A gateway that the store turned away, or whose watch was cut, kept those that had left meanwhile; the bound is 2 s, and 3 s after its own disturbance a gateway is held to it.

Entries of live endpoints expire together, when the store is away for all of them. Up to a quarter of the endpoints missing are now taken as departures. If that is wrong for one, it is unused until it registers again, within 2 s.

--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -18,6 +18,10 @@
 	// store outage. Live endpoints register again within two seconds of the store's
 	// recovery.
 	reregistrationGrace = 2 * time.Second
+	// maxDepartedShare is the share of the endpoints up to which missing entries are those
+	// of endpoints that have left. The entries of live endpoints expire together, if the
+	// store is away for all of them.
+	maxDepartedShare = 0.25
 )
 
 // Record is a decoded entry of the store: DeploymentRecord, VersionRecord,
@@ -257,12 +261,18 @@
 }
 
 // keepExpired keeps the endpoints whose entries may have expired in an outage for
-// reregistrationGrace, except those whose address has been taken over.
+// reregistrationGrace, except those whose address has been taken over. If only few entries
+// are missing, this process alone has lost the store, and their endpoints have left.
 func (t *Tracker) keepExpired(before, next *View) {
 	missing := missingEndpoints(before, next)
 	if len(missing) == 0 {
 		return
 	}
+	departed := float64(len(missing)) <= maxDepartedShare*float64(len(before.Endpoints))
+	t.log.Info("Endpoints without an entry after the store was unavailable.", "missing", len(missing), "known", len(before.Endpoints), "departed", departed)
+	if departed {
+		return
+	}
 	for _, endpoint := range missing {
 		kept := *endpoint
 		kept.Unregistered = true
