--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -195,6 +195,9 @@
 	}
 	sent := f.Now()
 	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, 0)
+	if errors.Is(err, ErrCompacted) {
+		f.setIncomplete()
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotConfirmed, err)
 	}
