--- a/fleet/departure_test.go
+++ b/fleet/departure_test.go
@@ -27,7 +27,7 @@
 
 // The store served all others while it turned this process away or cut its watch, and few
 // endpoints have no entry any more: they have left and must get no more calls.
-func TestAnEndpointThatLeftWhileOnlyThisProcessLostTheStoreIsGoneAtOnce(t *testing.T) {
+func TestAnEndpointThatLeavesWhileOnlyThisProcessHasLostTheStoreIsGoneAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
 	tracker.Replace(metastore.Snapshot{Items: entriesOf(18)}, *now, false)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -122,6 +122,13 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		s.items = append(s.items, metastore.Change{Key: "servers/b" + strconv.Itoa(i), Value: entry, Revision: 1})
 	}
+	return startOn(t, s), s
+}
+
+// startOn runs a gateway that follows a store and returns its address.
+func startOn(t *testing.T, s metastore.Store) string {
+	t.Helper()
+	g := NewWithT(t)
 	callers, ready := freeAddress(t), freeAddress(t)
 	decoder := &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}
 	tracker := fleet.NewTracker(decoder, boottime.Now, logging.Discard())
@@ -140,7 +147,7 @@
 		g.Eventually(done, 10*time.Second).Should(Receive(BeNil()))
 	})
 	g.Eventually(func() int { return status(http.Get("http://" + ready + "/")) }, 5*time.Second, 10*time.Millisecond).Should(Equal(http.StatusOK))
-	return callers, s
+	return callers
 }
 
 func status(response *http.Response, err error) int {
