A denial asks the store for its revision instead of transferring changes twice

A confirmation now reads the store's revision alone and compares it. After an answer that took 0.6 s or longer to arrive, the changes in the next one have no known time, as after a suspension: others tell it, or the last confirmation counts. A change of era that a revision shows is left to the watch.

--- a/gateway/declaration_test.go
+++ b/gateway/declaration_test.go
@@ -47,6 +47,8 @@
 	}}, nil
 }
 
+func (s *declaringStore) Revision(context.Context) (uint64, error) { return 2, nil }
+
 func (s *declaringStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]metastore.Change, uint64, error) {
 	if after > 2 {
 		<-ctx.Done()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -82,6 +82,13 @@
 	return snapshot, nil
 }
 
+// Revision implements metastore.Store.
+func (s *liveStore) Revision(context.Context) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, nil
+}
+
 // Watch implements metastore.Store.
 func (s *liveStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]metastore.Change, uint64, error) {
 	s.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,6 +51,14 @@
 	return metastore.Snapshot{Items: s.items, Revision: 1}, nil
 }
 
+func (s *store) Revision(ctx context.Context) (uint64, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return 1, nil
+}
+
 func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]metastore.Change, uint64, error) {
 	if s.away.Load() {
 		return nil, 0, metastore.ErrUnavailable
--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +20,9 @@
 	// openWatch is the time after which a watch without changes is open at the store. A
 	// slow store answers within 0.3 s if there are changes already.
 	openWatch = 600 * time.Millisecond
+	// slowTransfer is the transfer time of an answer from which on the changes in the next one
+	// have no known time: they may have been made while it was under way.
+	slowTransfer = 600 * time.Millisecond
 	// minWait is the shortest wait of a watch that is not sent to recover.
 	minWait = time.Millisecond
 )
@@ -64,6 +66,8 @@
 	// answered is about the time up to which all changes have been read: when the previous
 	// watch was answered, or when the read was sent.
 	answered boottime.Instant
+	// slow is set if the last answer took slowTransfer or longer.
+	slow bool
 }
 
 // Run follows the prefix until ctx ends.
@@ -167,49 +171,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.setTimes(changes, sent)
-	f.apply(changes, after, revision, sent)
+	f.Sink.Apply(changes, revision, sent, f.unavailable)
+	f.revision, f.unavailable = revision, false
 	f.pause = f.nextPause(len(changes) > 0, f.Now().Sub(sent))
 	return nil
 }
 
-// apply passes the answer to a watch after a revision to the sink. The caller must hold mu.
-func (f *Follower) apply(changes []Change, after, revision uint64, sent boottime.Instant) {
-	if f.revision > after {
-		// Another watch was answered first.
-		known := f.revision
-		changes = slices.DeleteFunc(changes, func(c Change) bool { return c.Revision <= known })
-	}
-	f.Sink.Apply(changes, max(f.revision, revision), sent, f.unavailable)
-	f.revision, f.unavailable = max(f.revision, revision), false
-}
-
 // ErrNotConfirmed means that the content may have changed, as far as the process knows.
 var ErrNotConfirmed = errors.New("metastore: content not confirmed")
 
-// Confirm reads the changes that the open watch has not returned yet, and so confirms the
-// content as of now. It returns ErrNotConfirmed while the store is unavailable.
+// Confirm asks the store for its revision, and so confirms the content as of now if nothing
+// has been written since. It returns ErrNotConfirmed otherwise, and while the store is
+// unavailable. It transfers no content: the open watch does.
 func (f *Follower) Confirm(ctx context.Context) error {
-	after, complete, unavailable := f.state()
-	if !complete || unavailable {
+	if _, complete, unavailable := f.state(); !complete || unavailable {
 		return ErrNotConfirmed
 	}
 	sent := f.Now()
-	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, 0)
-	if errors.Is(err, ErrCompacted) {
-		f.setIncomplete()
-	}
+	revision, err := f.Store.Revision(ctx)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotConfirmed, err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.complete || f.unavailable {
-		return ErrNotConfirmed
-	}
-	if f.pauses.RanSince(f.answered) {
-		setMadeAt(changes, f.answered, true)
+	if !f.complete || f.unavailable || revision > f.revision {
+		return fmt.Errorf("%w: store is at revision %d, content at %d", ErrNotConfirmed, revision, f.revision)
 	}
-	f.apply(changes, after, revision, sent)
+	f.Sink.Apply(nil, f.revision, sent, false)
 	return nil
 }
 
@@ -220,18 +208,20 @@
 func (f *Follower) setTimes(changes []Change, sent boottime.Instant) {
 	ranSinceSent, ranSinceAnswer := f.pauses.RanSince(sent), f.pauses.RanSince(f.answered)
 	now := f.Now()
-	begun := now
+	var transfer time.Duration
 	if len(changes) > 0 {
-		begun = now.Add(-changes[0].TransferTime)
+		transfer = changes[0].TransferTime
 	}
+	begun := now.Add(-transfer)
 	switch {
 	case f.unavailable:
 		setMadeAt(changes, f.outageEnd(), ranSinceAnswer)
 	case begun.Sub(sent) >= openWatch:
 		setMadeAt(changes, begun, ranSinceSent)
 	default:
-		setMadeAt(changes, f.answered, ranSinceAnswer)
+		setMadeAt(changes, f.answered, ranSinceAnswer && !f.slow)
 	}
+	f.slow = transfer >= slowTransfer
 	f.answered = sent
 	if ranSinceSent {
 		f.answered = begun
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -39,6 +39,8 @@
 	return metastore.Snapshot{Items: items, Revision: revision}, err
 }
 
+func (s *scriptedStore) Revision(context.Context) (uint64, error) { return 0, errors.ErrUnsupported }
+
 func (s *scriptedStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]metastore.Change, uint64, error) {
 	return s.next("watch")
 }
@@ -96,6 +98,8 @@
 	return metastore.Snapshot{}, nil
 }
 
+func (s *growingStore) Revision(context.Context) (uint64, error) { return s.revision(), nil }
+
 func (s *growingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]metastore.Change, uint64, error) {
 	s.calls++
 	if after == s.writes {
@@ -203,7 +207,9 @@
 
 type timedCall struct {
 	takes, suspended time.Duration
-	err              error
+	// transfer is the part of takes for which the answer is under way.
+	transfer time.Duration
+	err      error
 }
 
 type timedStore struct {
@@ -226,7 +232,7 @@
 	s.calls = s.calls[1:]
 	time.Sleep(call.takes)
 	s.skipped.Add(int64(call.suspended))
-	return make([]metastore.Change, 1), call.err
+	return []metastore.Change{{TransferTime: call.transfer}}, call.err
 }
 
 func (s *timedStore) Read(ctx context.Context, _ string) (metastore.Snapshot, error) {
@@ -234,6 +240,8 @@
 	return metastore.Snapshot{Items: changes}, err
 }
 
+func (s *timedStore) Revision(context.Context) (uint64, error) { return 0, errors.ErrUnsupported }
+
 func (s *timedStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]metastore.Change, uint64, error) {
 	changes, err := s.next(ctx)
 	return changes, after, err
@@ -251,6 +259,8 @@
 		"the process was suspended in the watch":           {[]timedCall{{takes: fast}, {takes: slow, suspended: slow}}, []time.Duration{unknown, unknown}},
 		"it was suspended one watch earlier":               {[]timedCall{{takes: fast}, {takes: slow, suspended: slow}, {takes: slow}}, []time.Duration{unknown, unknown, fast + 3*slow}},
 		"the answer before waited for the process":         {[]timedCall{{takes: fast}, {takes: slow, suspended: slow}, {takes: fast}}, []time.Duration{unknown, unknown, unknown}},
+		"the answer to an open watch takes long":           {[]timedCall{{takes: fast}, {takes: 2 * slow, transfer: slow}}, []time.Duration{unknown, fast + slow}},
+		"a watch that is answered at once after that":      {[]timedCall{{takes: fast}, {takes: 2 * slow, transfer: slow}, {takes: fast}}, []time.Duration{unknown, fast + slow, unknown}},
 		"the history is compacted, the content read again": {[]timedCall{{takes: fast}, {takes: slow, err: metastore.ErrCompacted}, {takes: fast}}, []time.Duration{unknown, 0}},
 	}
 	for name, c := range cases {
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -55,4 +55,6 @@
 	// the next watch continues. It returns as soon as there are changes, or without any
 	// after wait. The error is ErrCompacted if the store lacks the history.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Revision returns the revision of the latest change of any key.
+	Revision(ctx context.Context) (uint64, error)
 }
