--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -30,8 +30,8 @@
 	failedAt atomic.Int64
 }
 
-// confirm brings the view up to date and reports whether it succeeded. It fails at once
-// while the store is known to be unavailable.
+// confirm reports whether the store has confirmed the view just now. It fails at once while
+// the store is known to be unavailable.
 func (c *confirmer) confirm() bool {
 	if failed := boottime.Instant(c.failedAt.Load()); failed != 0 && c.now().Sub(failed) < confirmBackoff {
 		return false
