Tests of a gateway listen where no other process takes the port

The test took a free port from the ephemeral range and released it; a connection of another process had it before the gateway listened. Ports now lie below that range on an IP address of this process, as those of the fleet tests do. No check changes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -166,12 +166,19 @@
 	return response.StatusCode
 }
 
+// givenPorts are the ports that freeAddress has returned.
+var givenPorts sync.Map
+
+// freeAddress returns an address that no other process takes: the port is below the range of
+// ephemeral ports, the IP address this process's.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		port := freePorts(t)
+		if _, given := givenPorts.LoadOrStore(port, true); !given {
+			return address(1, port)
+		}
+	}
 }
 
 // ask sends one request with a key.
