A declaration that was replaced often is read once, not with its history

Calls were served by declarations up to 12.2 s older than the newest acknowledged one, at gateways that had lost the store for 8 s.

Cause: since a follower continues after a failure from the revision that it has. The history holds every version of a declaration of 540 KB, where the content holds the last one only. Above 4 MB of history, the answer was larger than a call may read, and each retry asked for more.

What is transferred for a late gateway no longer grows with its delay. The time of changes that come this way follows the same rules as before (open watch, slow transfer, suspension).

Tried before: a limit of 256 KB.

--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -66,7 +66,7 @@
 	// answered is about the time up to which all changes have been read: when the previous
 	// watch was answered, or when the read was sent.
 	answered boottime.Instant
-	// slow is set if the last answer took slowTransfer or longer.
+	// slow is set if the last answer took slowTransfer or longer to arrive.
 	slow bool
 }
 
@@ -83,7 +83,7 @@
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), errors.Is(err, ErrLargeHistory):
 			f.setIncomplete()
 			continue
 		}
@@ -142,8 +142,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	setMadeAt(snapshot.Items, f.outageEnd(), f.pauses.RanSince(f.answered))
-	f.answered = sent
+	setMadeAt(snapshot.Items, f.outageEnd(), f.pauses.RanSince(f.answered) && !f.slow)
+	f.answered, f.slow = sent, f.Now().Sub(sent) >= slowTransfer
 	f.Sink.Replace(snapshot, sent, f.unavailable)
 	f.revision, f.complete, f.unavailable = snapshot.Revision, true, false
 	return nil
@@ -165,11 +165,14 @@
 func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) error {
 	sent := f.Now()
 	changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if errors.Is(err, ErrLargeHistory) {
+		f.historyBegan(sent)
+	}
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.setTimes(changes, sent)
 	f.Sink.Apply(changes, revision, sent, f.unavailable)
 	f.revision, f.unavailable = revision, false
@@ -228,6 +231,14 @@
 	}
 }
 
+// historyBegan records that a watch has begun to be answered, with changes that are read with
+// the content. If it was open, they have been made just now. The caller must hold mu.
+func (f *Follower) historyBegan(sent boottime.Instant) {
+	if now := f.Now(); now.Sub(sent) >= openWatch && f.pauses.RanSince(sent) {
+		f.answered, f.slow = now, false
+	}
+}
+
 func setMadeAt(changes []Change, at boottime.Instant, known bool) {
 	if !known {
 		return
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -134,6 +134,13 @@
 	})
 }
 
+func TestLargeHistoryIsReadAsContent(t *testing.T) {
+	g := NewWithT(t)
+	store, sink := follow(t, answer(3), failure(metastore.ErrUnavailable), failure(metastore.ErrLargeHistory), answer(9), answer(10))
+	g.Expect(store.calls).To(Equal([]string{"read", "watch", "watch", "read", "watch", "watch"}))
+	g.Expect(sink.log).To(Equal([]string{"replace", "disconnected", "recovered", "apply"}))
+}
+
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	g := NewWithT(t)
 	store, sink := follow(t, answer(3), answer(4), failure(metastore.ErrCompacted), answer(9), answer(10))
@@ -261,6 +268,11 @@
 		"the answer before waited for the process":         {[]timedCall{{takes: fast}, {takes: slow, suspended: slow}, {takes: fast}}, []time.Duration{unknown, unknown, unknown}},
 		"the answer to an open watch takes long":           {[]timedCall{{takes: fast}, {takes: 2 * slow, transfer: slow}}, []time.Duration{unknown, fast + slow}},
 		"a watch that is answered at once after that":      {[]timedCall{{takes: fast}, {takes: 2 * slow, transfer: slow}, {takes: fast}}, []time.Duration{unknown, fast + slow, unknown}},
+		"the history is large, the content read instead":   {[]timedCall{{takes: fast}, {takes: slow, err: metastore.ErrLargeHistory}, {takes: fast}}, []time.Duration{unknown, fast + slow}},
+		"it is large though the watch came too late":       {[]timedCall{{takes: fast}, {takes: slow}, {takes: fast, err: metastore.ErrLargeHistory}, {takes: fast}}, []time.Duration{unknown, fast + slow, fast + slow}},
+		"it is large after an answer that took long":       {[]timedCall{{takes: fast}, {takes: 2 * slow, transfer: slow}, {takes: fast, err: metastore.ErrLargeHistory}, {takes: fast}}, []time.Duration{unknown, fast + slow, unknown}},
+		"the content takes long to read":                   {[]timedCall{{takes: fast}, {takes: slow, err: metastore.ErrLargeHistory}, {takes: slow}, {takes: fast}}, []time.Duration{unknown, fast + slow, unknown}},
+		"it was suspended when the history was large":      {[]timedCall{{takes: fast}, {takes: slow, suspended: slow, err: metastore.ErrLargeHistory}, {takes: fast}}, []time.Duration{unknown, unknown}},
 		"the history is compacted, the content read again": {[]timedCall{{takes: fast}, {takes: slow, err: metastore.ErrCompacted}, {takes: fast}}, []time.Duration{unknown, 0}},
 	}
 	for name, c := range cases {
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -16,6 +16,9 @@
 	// ErrCompacted means that the history after the revision was compacted. The caller
 	// must read the complete prefix again.
 	ErrCompacted = errors.New("metastore: history after the revision compacted")
+	// ErrLargeHistory means that the history after the revision is larger than the content.
+	// The caller must read the complete prefix again.
+	ErrLargeHistory = errors.New("metastore: history after the revision larger than the content")
 	// ErrUnavailable means that the store did not execute the call; the caller may retry
 	// later.
 	ErrUnavailable = errors.New("metastore: store unavailable")
@@ -53,7 +56,8 @@
 	Read(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch returns the changes under prefix after a revision, and the revision at which
 	// the next watch continues. It returns as soon as there are changes, or without any
-	// after wait. The error is ErrCompacted if the store lacks the history.
+	// after wait. The error is ErrCompacted if the store lacks the history, and
+	// ErrLargeHistory if reading the content takes less time.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Revision returns the revision of the latest change of any key.
 	Revision(ctx context.Context) (uint64, error)
