A change that takes long to arrive after an outage is not taken for younger than it is

What was read after an outage of the store counted as made when the answer had arrived completely. Since an answer may take up to 20 s, as long as it makes progress (before, 1.5 s a page), so that a declared version could look younger by its transfer and older weights begin calls after their time (VERSION).

Such changes count from the begin of the answer now, those read with the content from the sending of the read. Nothing was written while the store was away for all, so that neither is later than the change by more than the time until the answer began.

TestAChangeThatTakesLongToArriveAfterAnOutageIsNotTakenForYounger failed before: 8.2 s and 8.1 s instead of less than 6 s, for an outage that ended at 5 s and a transfer of 3 s.

--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -142,7 +142,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	setMadeAt(snapshot.Items, f.outageEnd(), f.pauses.RanSince(f.answered) && !f.slow)
+	setMadeAt(snapshot.Items, f.outageEnd(sent), f.pauses.RanSince(f.answered) && (f.unavailable || !f.slow))
 	f.answered, f.slow = sent, f.Now().Sub(sent) >= slowTransfer
 	f.Sink.Replace(snapshot, sent, f.unavailable)
 	f.revision, f.complete, f.unavailable = snapshot.Revision, true, false
@@ -150,12 +150,12 @@
 }
 
 // outageEnd returns the time from which changes count as made that were read in one step
-// after an outage, or after the history was compacted. If the store was away for all
-// processes, nothing was written in the outage. If it was away for this process only, other
-// processes know an earlier time. The caller must hold mu.
-func (f *Follower) outageEnd() boottime.Instant {
+// after an outage, or after the history was compacted. begun is when the store began to send
+// them. If the store was away for all processes, nothing was written in the outage. If it was
+// away for this process only, other processes know an earlier time. The caller must hold mu.
+func (f *Follower) outageEnd(begun boottime.Instant) boottime.Instant {
 	if f.unavailable && f.answered != 0 {
-		return f.Now()
+		return begun
 	}
 	return f.answered
 }
@@ -218,7 +218,7 @@
 	begun := now.Add(-transfer)
 	switch {
 	case f.unavailable:
-		setMadeAt(changes, f.outageEnd(), ranSinceAnswer)
+		setMadeAt(changes, f.outageEnd(begun), ranSinceAnswer)
 	case begun.Sub(sent) >= openWatch:
 		setMadeAt(changes, begun, ranSinceSent)
 	default:
@@ -231,8 +231,9 @@
 	}
 }
 
-// historyBegan records that a watch has begun to be answered, with changes that are read with
-// the content. If it was open, they have been made just now. The caller must hold mu.
+// historyBegan records the time of changes that a watch has begun to return, and that are read
+// with the content instead. If the watch was open, they have been made just now. The caller
+// must hold mu.
 func (f *Follower) historyBegan(sent boottime.Instant) {
 	if now := f.Now(); now.Sub(sent) >= openWatch && f.pauses.RanSince(sent) {
 		f.answered, f.slow = now, false
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -287,6 +287,22 @@
 	NewWithT(t).Expect(made[1]).To(BeNumerically(">", 5*time.Second))
 }
 
+// A declared version that looks younger than it is keeps older weights in use for too long.
+func TestAChangeThatTakesLongToArriveAfterAnOutageIsNotTakenForYounger(t *testing.T) {
+	const call, outage, transfer = 10 * time.Millisecond, 5 * time.Second, 3 * time.Second
+	down := timedCall{takes: outage, err: errors.New("store down")}
+	for name, calls := range map[string][]timedCall{
+		"in the history": {{takes: call}, down, {takes: call + transfer, transfer: transfer}},
+		"in the content": {{takes: call}, down, {takes: call, err: metastore.ErrLargeHistory}, {takes: call + transfer}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			made := followTimes(t, calls...)
+			NewWithT(t).Expect(made).To(HaveLen(2))
+			NewWithT(t).Expect(made[1]).To(And(BeNumerically(">", outage), BeNumerically("<", outage+time.Second)))
+		})
+	}
+}
+
 func TestNothingIsKnownOfAChangeReadAfterAnOutageInWhichTheProcessWasSuspended(t *testing.T) {
 	const call = 10 * time.Millisecond
 	made := followTimes(t, timedCall{takes: call}, timedCall{takes: call, suspended: 5 * time.Second, err: errors.New("store down")}, timedCall{takes: call})
