Engines that say they are leaving, and times to come back

Cause: the header Server-Leaving of an engine's answers and the Retry-After of its rejections were read nowhere, so a gateway went on sending calls to an engine that leaves until the registry said so, which it can't while the store is away, and sent more calls to one that wanted none. A rejection without an ID on a kept connection was taken for that of the connection's next call, which may have run.

Change: package notices remembers per start of an endpoint what it has said; placement asks it for each call, also when a connection has been opened. Agents read the header in the engine's reports and tell all gateways. A call that only closed engines could take is rejected at once with the time at which the first of them opens. A rejection without an ID counts only as the first answer of a connection.

Ruled out: clearing a notice when the registry entry goes and comes back (the schedules show sends to engines that had said they leave), keying it by ID or address alone (engines that started again get nothing).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,8 @@
 	Weights []fleet.LoadedLayers
 	// Pace is above 1 for an engine that is slower than declared.
 	Pace float64
+	// Leaving is set if the engine is about to stop.
+	Leaving bool
 	// Orders is the number of load orders that the engine has begun since its start.
 	Orders int64
 }
@@ -235,7 +237,10 @@
 	a.boot = report.Boot
 	next := &peerpb.EngineNews{
 		Engine: a.config.EngineAddress, Boot: report.Boot, Running: uint32(report.Running), Waiting: uint32(report.Waiting),
-		Loading: report.Loading, Version: version,
+		Loading: report.Loading, Version: version, Leaving: report.Leaving,
+	}
+	if next.GetLeaving() && !(a.status.GetLeaving() && a.status.GetBoot() == next.GetBoot()) {
+		a.log.Info("The engine is about to stop; gateways are notified.", "boot", report.Boot, "running", report.Running, "waiting", report.Waiting)
 	}
 	if !sameStatus(a.status, next) {
 		a.publish(next)
@@ -258,7 +263,7 @@
 
 func sameStatus(a, b *peerpb.EngineNews) bool {
 	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetRunning() == b.GetRunning() &&
-		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion()
+		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving()
 }
 
 // publish replaces the status and wakes the followers. The caller must hold a.mu.
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -258,7 +258,7 @@
 	case sent.GetLeaseNumber() != status.GetLeaseNumber() || status.GetStarts() > 0 && now.Sub(f.sentAt) >= leaseRenewal:
 		return true
 	}
-	return sent.GetUnreachable() != status.GetUnreachable() || sent.GetBoot() != status.GetBoot() || sent.GetLoading() != status.GetLoading() ||
+	return sent.GetUnreachable() != status.GetUnreachable() || sent.GetLeaving() != status.GetLeaving() || sent.GetBoot() != status.GetBoot() || sent.GetLoading() != status.GetLoading() ||
 		sent.GetVersion() != status.GetVersion() || sent.GetDivided() != status.GetDivided() || sent.GetGranted() != status.GetGranted()
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -53,6 +53,9 @@
 	// Start is called when a connection is open, unless it is nil. It returns the time left
 	// for the endpoint to answer, and whether the attempt may still be sent.
 	Start func() (remaining time.Duration, permitted bool)
+	// Received is called with the classification of each answer that arrives on the
+	// attempt's connection, also of one to another request, unless it is nil.
+	Received func(Classification)
 }
 
 // Load is the load that an endpoint reports: calls running and waiting, and slots.
@@ -64,12 +67,19 @@
 type Classification struct {
 	// Mismatched is set if the answer belongs to another request.
 	Mismatched bool
+	// Unidentified is set if the answer is a rejection that does not name its request.
+	Unidentified bool
 	// NotRun is set if the endpoint did not run the request and will not run it.
 	NotRun bool
 	// Misdirected is set if another endpoint answered at the address.
 	Misdirected bool
 	// Closing is set if the endpoint closes the connection.
 	Closing bool
+	// Leaving is set if the endpoint stops soon and wants no more calls.
+	Leaving bool
+	// Pause is how long the endpoint, which turned the request away, wants no calls from
+	// this process, 0 if it did not say.
+	Pause time.Duration
 	// Weights is the version of the weights on which the endpoint started the call, 0 if it
 	// reported none.
 	Weights int64
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -87,6 +87,12 @@
 	default:
 	}
 	classification := dialect.Classify(attempt, response)
+	// On a connection that was used before, a rejection without an ID may be an earlier one
+	// that the endpoint has written once more.
+	classification.Mismatched = classification.Mismatched || classification.Unidentified && !c.fresh
+	if attempt.Received != nil {
+		attempt.Received(classification)
+	}
 	if classification.Mismatched {
 		return nil, fmt.Errorf("%w from %s: the received answer belongs to another request", ErrNoAnswer, c.address)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -92,6 +92,13 @@
 	return b.ran[id]
 }
 
+// calls returns the number of calls that it ran.
+func (b *backend) calls() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ran)
+}
+
 func newBackend(t *testing.T, answer http.HandlerFunc) *backend {
 	t.Helper()
 	b := &backend{ran: map[string]int{}}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -307,7 +307,8 @@
 	s.tried = append(s.tried, endpoint.ID)
 	attempt := forward.Attempt{
 		Call: s.admitted.call, Endpoint: endpoint, Team: s.admitted.teamName(), LastEvent: s.lastEvent,
-		Start: func() (time.Duration, bool) { return s.remaining(), g.scheduler.mayStart(ticket) },
+		Start:    func() (time.Duration, bool) { return s.remaining(), g.scheduler.mayStart(ticket) },
+		Received: func(c forward.Classification) { s.endpointSaid(endpoint, c) },
 	}
 	sent := g.now()
 	s.endpoint, s.sentAt, s.begunAt, s.lost, s.provedSound = endpoint, sent, 0, false, false
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -15,6 +15,9 @@
 	s.update(func(p *placement.Placer, now boottime.Instant) {
 		p.UpdatePermit(status.GetEngine(), startPermit(status))
 		p.UpdateGateways(int(status.GetGateways()))
+		if status.GetLeaving() && p.EngineLeaving(now, status.GetEngine(), status.GetBoot()) {
+			endpointNotices.Add("leaving_by_agent", 1)
+		}
 		lost := p.UpdateEngine(placement.EngineStatus{
 			Address: status.GetEngine(), Boot: status.GetBoot(), Running: int(status.GetRunning()), Waiting: int(status.GetWaiting()),
 			Loading: status.GetLoading(), Version: status.GetVersion(), Unreachable: status.GetUnreachable(), At: now,
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 // best returns the endpoint with room and the earliest predicted first byte, that
@@ -69,15 +70,17 @@
 
 // permitted reports whether an endpoint may start a request now.
 func (p *Placer) permitted(now boottime.Instant, e *endpointState, request *Request) bool {
-	if e.Draining || e.superseded(now) || p.view.ZonesOut[e.Zone] {
+	if e.leaves() || e.closed(now) || e.superseded(now) || p.view.ZonesOut[e.Zone] {
 		return false
 	}
-	for _, homes := range request.Homes {
-		if len(homes) > 0 && !slices.Contains(homes, e.Region) {
-			return false
-		}
-	}
-	return e.profile == nil || p.servable(now, e)
+	return e.inHomes(request) && (e.profile == nil || p.servable(now, e))
+}
+
+// inHomes reports whether the endpoint's region may run a request.
+func (e *endpointState) inHomes(request *Request) bool {
+	return !slices.ContainsFunc(request.Homes, func(homes []core.RegionID) bool {
+		return len(homes) > 0 && !slices.Contains(homes, e.Region)
+	})
 }
 
 // MayStart reports whether a placed call may still be sent to its endpoint. Opening a
@@ -112,11 +115,12 @@
 	return !p.startLimitReached(now, e)
 }
 
-// mayBecomeEligible reports whether an endpoint that cannot run the request now may be
-// able to soon.
-func (p *Placer) mayBecomeEligible(request *Request) bool {
+// mayBecomeEligible reports whether an endpoint that cannot run a waiting request now may be
+// able to while it waits.
+func (p *Placer) mayBecomeEligible(now boottime.Instant, ticket *Ticket) bool {
+	request, waitsUntil := &ticket.Request, now.Add(p.maxWait(now, ticket))
 	for _, e := range p.byService[request.Service] {
-		if !slices.Contains(request.Tried, e.ID) && !e.Draining && !p.view.ZonesOut[e.Zone] {
+		if !slices.Contains(request.Tried, e.ID) && !e.leaves() && !p.view.ZonesOut[e.Zone] && e.said.ClosedUntil <= waitsUntil {
 			return true
 		}
 	}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -57,7 +57,7 @@
 	var ready, coming []*endpointState
 	for _, e := range list {
 		switch {
-		case e.profile == nil || e.Draining || p.view.ZonesOut[e.Zone]:
+		case e.profile == nil || e.leaves() || p.view.ZonesOut[e.Zone]:
 		case e.suspect(now):
 			demands[e.Address] = slotshare.Demand{Open: e.usedSlots()}
 		case p.servable(now, e):
@@ -113,10 +113,10 @@
 
 // usable reports whether an endpoint may receive new calls now.
 func (p *Placer) usable(now boottime.Instant, e *endpointState) bool {
-	return !e.Draining && !p.view.ZonesOut[e.Zone] && !e.suspect(now) && (e.profile == nil || p.servable(now, e))
+	return !e.leaves() && !p.view.ZonesOut[e.Zone] && !e.suspect(now) && (e.profile == nil || p.servable(now, e))
 }
 
 // suspect reports whether calls should rather go to other endpoints.
 func (e *endpointState) suspect(now boottime.Instant) bool {
-	return e.status.Unreachable || e.health.backingOff(now)
+	return e.status.Unreachable || e.health.backingOff(now) || e.closed(now)
 }
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -6,6 +6,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/catalogue"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/notices"
 )
 
 // reportTTL is how long a load report is used. Calls that this process sent and saw end
@@ -72,6 +73,8 @@
 	// after another endpoint answered a call at the address.
 	replaced      bool
 	replacedUntil boottime.Instant
+	// said is what the endpoint has said about itself.
+	said notices.State
 }
 
 func newEndpointState(endpoint *fleet.Endpoint) *endpointState {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -9,6 +9,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/notices"
 	"github.com/zinniaseam/zinniaseam/rollout"
 	"github.com/zinniaseam/zinniaseam/startquota"
 )
@@ -75,6 +76,8 @@
 	// first byte.
 	arrivals map[core.ServiceID]*arrivalRate
 	slowest  map[core.ServiceID]*slowest
+	// notices are what endpoints have said about themselves.
+	notices *notices.Book
 }
 
 // New returns a placer without endpoints.
@@ -83,6 +86,7 @@
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, senders: map[string]*startquota.Sender{}, declared: map[string]*rollout.Declarations{},
 		arrivals: map[core.ServiceID]*arrivalRate{}, slowest: map[core.ServiceID]*slowest{},
+		notices: notices.NewBook(),
 	}
 }
 
@@ -113,10 +117,12 @@
 		slices.SortFunc(list, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	p.forgetSenders(now)
+	p.forgetNotices(now)
 }
 
 func (p *Placer) refresh(state *endpointState, endpoint *fleet.Endpoint) {
 	state.Endpoint = *endpoint
+	state.said = p.notices.Lookup(subjectOf(&state.Endpoint))
 	if p.view.Deployment == nil {
 		return
 	}
@@ -225,7 +231,7 @@
 	switch {
 	case best != nil && (best.profile == nil || !p.reserved(now, ticket)):
 		p.place(now, ticket, best, expected)
-	case candidates == 0 && !p.mayBecomeEligible(request):
+	case candidates == 0 && !p.mayBecomeEligible(now, ticket):
 		p.reject(now, ticket, core.ReasonNoEndpoint)
 	case p.cannotMeetDeadline(now, ticket, ahead):
 		p.reject(now, ticket, core.ReasonOverloaded)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -85,17 +85,27 @@
 // are rejected immediately can be retried when there is room.
 func (p *Placer) cannotMeetDeadline(now boottime.Instant, ticket *Ticket, ahead int) bool {
 	request := &ticket.Request
-	waited := now.Sub(ticket.arrived)
-	if waited > time.Duration(waitShare*float64(request.Deadline.Sub(ticket.arrived))) {
+	left := p.maxWait(now, ticket)
+	if left < 0 {
 		return true
 	}
 	if request.Retried || request.Continues {
-		return waited > retriedWait
+		return false
 	}
-	left := min(request.OnTimeBy.Sub(now)-p.earliestFirstByte(ticket), freshWait-waited)
 	return left <= 0 || float64(ahead) > p.startRate(now, request.Service)*left.Seconds()
 }
 
+// maxWait returns how much longer a request may wait, less than 0 if its time to wait is over.
+func (p *Placer) maxWait(now boottime.Instant, ticket *Ticket) time.Duration {
+	request := &ticket.Request
+	waited := now.Sub(ticket.arrived)
+	share := time.Duration(waitShare * float64(request.Deadline.Sub(ticket.arrived)))
+	if request.Retried || request.Continues {
+		return min(share, retriedWait) - waited
+	}
+	return min(share-waited, request.OnTimeBy.Sub(now)-p.earliestFirstByte(ticket), freshWait-waited)
+}
+
 // minStartRate is the lowest assumed start rate, in calls per second. It is used while
 // no call is running from which a rate could be derived.
 const minStartRate = 10.0
@@ -152,9 +162,17 @@
 
 // retryAfter returns a jittered retry time, so that the retries of rejected callers are
 // spread over the time in which the waiting calls are expected to be placed.
+//
+// Load pattern: the only endpoints of a service have turned calls away for some time. Callers
+// who come back before that are rejected once more.
 func (p *Placer) retryAfter(now boottime.Instant, ticket *Ticket) time.Duration {
 	base := max(min(ticket.Request.Deadline.Sub(now)/retryAfterDivisor, maxRetryAfter), minRetryAfter)
-	return base/2 + time.Duration(p.config.Random.Int64N(int64(base)))
+	wait := base/2 + time.Duration(p.config.Random.Int64N(int64(base)))
+	closed := p.opensAt(now, &ticket.Request).Sub(now)
+	if closed <= 0 {
+		return wait
+	}
+	return max(wait, closed+time.Duration(p.config.Random.Int64N(int64(base/2))))
 }
 
 // Cancel removes a waiting request from the queue.
