Odd entries among those of the endpoints

Nesting, port and type errors ended no process: encoding/json bounds the depth, and a failed dial is retried elsewhere.

A malformed entry is counted and logged once per key and reason, with bounded text.

--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,11 +74,15 @@
 	// which each is removed.
 	missing map[EndpointID]boottime.Instant
 	changed []func(*View)
+	// malformed are the malformed entries by key, with what is wrong with each.
+	malformed map[string]string
 }
 
+var malformedEntries = expvar.NewInt("store_entries_malformed")
+
 // NewTracker returns a tracker with an empty view.
 func NewTracker(decoder Decoder, now boottime.Clock, logger *log.Logger) *Tracker {
-	t := &Tracker{decoder: decoder, now: now, log: logger, missing: map[EndpointID]boottime.Instant{}}
+	t := &Tracker{decoder: decoder, now: now, log: logger, missing: map[EndpointID]boottime.Instant{}, malformed: map[string]string{}}
 	t.view.Store(NewView())
 	return t
 }
@@ -104,15 +109,17 @@
 // apply applies one change of the store to next.
 func (t *Tracker) apply(next *View, change metastore.Change) {
 	if change.Deleted {
+		delete(t.malformed, change.Key)
 		t.remove(next, change.Key)
 		return
 	}
 	record, ok, err := t.decoder.Decode(change.Key, change.Value)
 	if err != nil {
-		t.log.Warn("Malformed store entry; treating it as deleted.", "key", change.Key, "revision", change.Revision, "err", err)
+		t.rejectEntry(change, err)
 		t.remove(next, change.Key)
 		return
 	}
+	delete(t.malformed, change.Key)
 	if !ok {
 		return
 	}
@@ -132,6 +139,22 @@
 	}
 }
 
+// maxMalformed bounds the malformed entries that are remembered.
+const maxMalformed = 1024
+
+// rejectEntry counts a malformed entry and logs it, unless it was malformed in the same way
+// when it was read last: writers renew their entries every second.
+func (t *Tracker) rejectEntry(change metastore.Change, err error) {
+	malformedEntries.Add(1)
+	if t.malformed[change.Key] == err.Error() {
+		return
+	}
+	if len(t.malformed) < maxMalformed {
+		t.malformed[change.Key] = err.Error()
+	}
+	t.log.Warn("Malformed store entry; treating it as deleted.", "key", change.Key, "revision", change.Revision, "bytes", len(change.Value), "err", err)
+}
+
 // applyVersion applies a newer declared version. next.ConfirmedAt is still the
 // confirmation of the view without it.
 func (t *Tracker) applyVersion(next *View, record VersionRecord, change metastore.Change) {
@@ -166,7 +189,7 @@
 }
 
 func (t *Tracker) applyEndpoint(next *View, endpoint *Endpoint, revision uint64) {
-	if !t.claimAddress(next, endpoint) {
+	if names(next, endpoint.Service) && !t.claimAddress(next, endpoint) {
 		return
 	}
 	endpoint.SeenAt = t.now()
@@ -180,6 +203,16 @@
 	}
 }
 
+// names reports whether the declaration names a service. An entry of any other service may be
+// from another writer, and takes no address from an endpoint.
+func names(view *View, service core.ServiceID) bool {
+	if view.Deployment == nil {
+		return true
+	}
+	_, named := view.Deployment.Services[service]
+	return named
+}
+
 // claimAddress removes the previous endpoints at the same address, whose entries remain
 // for seconds after the endpoints stopped. It returns false if the endpoint itself has
 // been superseded.
