A panic while a peer's message is handled ends its call only

Cause: gRPC ends the process when a handler panics, so one malformed message took an agent or a gateway down with all its calls.

Change: interceptors turn a panic into an error of the call, also in the receiving goroutine of an agent's stream; the agent's state is unlocked by deferred calls there. It no longer lists the relays at each message, only when they have changed.

--- a/agent/follower.go
+++ b/agent/follower.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/peerpb"
+	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/slotshare"
 	"github.com/zinniaseam/zinniaseam/startquota"
 )
@@ -139,7 +140,8 @@
 }
 
 // receive processes the gateway's messages until the stream ends.
-func (f *follower) receive(stream grpc.BidiStreamingServer[peerpb.GatewayNews, peerpb.EngineNews]) error {
+func (f *follower) receive(stream grpc.BidiStreamingServer[peerpb.GatewayNews, peerpb.EngineNews]) (err error) {
+	defer peers.Recovered("Follow", &err)
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -162,8 +164,16 @@
 
 // apply updates the follower and the division of slots from a message.
 func (f *follower) apply(message *peerpb.GatewayNews) {
+	if relays, changed := f.update(message); changed {
+		f.agent.updater.offerRelays(relays)
+	}
+}
+
+// update is apply without the relays, which it returns if they have changed.
+func (f *follower) update(message *peerpb.GatewayNews) (relays []*peerpb.FleetMember, changed bool) {
 	a := f.agent
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if message.GetSentMs() != 0 {
 		f.echo, f.echoAt = message.GetSentMs(), boottime.Now()
 	}
@@ -177,16 +187,12 @@
 	if demand := message.GetWant(); demand != nil && f.gateway != "" {
 		a.divider.SetDemand(boottime.Now(), f.gateway, slotshare.Demand{Calls: float64(demand.GetCalls()), Open: int(demand.GetOpen())})
 	}
-	changed := message.GetRelay() != nil && !proto.Equal(f.relay, message.GetRelay().GetMember())
-	if changed {
-		f.relay = message.GetRelay().GetMember()
-		a.publish(a.status)
-	}
-	relays := a.relays()
-	a.mu.Unlock()
-	if changed {
-		a.updater.offerRelays(relays)
+	if message.GetRelay() == nil || proto.Equal(f.relay, message.GetRelay().GetMember()) {
+		return nil, false
 	}
+	f.relay = message.GetRelay().GetMember()
+	a.publish(a.status)
+	return a.relays(), true
 }
 
 // applyLimits takes the engine's slots and its limit of call starts from a declaration that
--- a/peers/server.go
+++ b/peers/server.go
@@ -18,14 +18,14 @@
 
 // NewServer returns a gRPC server that limits the size of messages, closes the
 // connections of unresponsive clients, and accepts only the connections and calls
-// that security allows.
+// that security allows. A panic in a handler ends its call only.
 func NewServer(security Security) *grpc.Server {
 	keys := newKeyChecker(security)
 	return grpc.NewServer(
 		grpc.Creds(newTransport(security)),
 		grpc.ConnectionTimeout(handshakeTimeout),
-		grpc.UnaryInterceptor(keys.unary),
-		grpc.StreamInterceptor(keys.stream),
+		grpc.ChainUnaryInterceptor(recoverUnary, keys.unary),
+		grpc.ChainStreamInterceptor(recoverStream, keys.stream),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.StaticStreamWindowSize(StreamWindowBytes),
