Callers that hardly send or read don't hold a gateway for good

Cause: the body of a request had no time limit, and neither had the writing of an answer. A caller that sent or read a byte now and then held its goroutine, its connection and the memory of its call for good.

Change: a body has to arrive within the time that the caller waits for its answer; otherwise the answer is 408, which is true. 4 KB of an answer have to be accepted within 10 s, whatever its length, so that slow and sound streams go on.

A slow body in time is answered and its connection kept.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	forward.Dialect
 	// ReadCall reads a request with its body of at most maxBody bytes.
 	ReadCall(r *http.Request, maxBody int64) (*forward.Call, error)
+	// Timeout returns how long the caller of a request waits, 0 if it does not say.
+	Timeout(r *http.Request) time.Duration
 	// TooLarge reports whether ReadCall returned err because the body was too large.
 	TooLarge(err error) bool
 	// PassHeaders copies the headers of an endpoint's answer that are passed on.
@@ -162,7 +164,7 @@
 	process.AddDuty("weights", g.relay.run)
 	process.AddDuty("spread", g.relay.spreader.Run)
 	process.AddDuty("sweep", g.sweep)
-	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
+	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callerListener{callers})) })
 	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
 	process.AddStop("leave", g.drain)
 	process.AddStop("callers", callerServer.Shutdown)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +51,7 @@
 	if deployment := g.tracker.View().Deployment; deployment != nil && deployment.Limits.BodyBytes > 0 {
 		maxBody = deployment.Limits.BodyBytes
 	}
-	call, err := g.dialect.ReadCall(r, maxBody)
+	call, err := g.readCall(w, r, maxBody)
 	if err != nil {
 		g.rejectUnread(w, r, err)
 		return
@@ -96,8 +97,12 @@
 
 func (g *Gateway) rejectUnread(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
-	if g.dialect.TooLarge(err) {
+	switch {
+	case g.dialect.TooLarge(err):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+		w.Header().Set("Connection", "close")
 	}
 	g.log.Info("Reading the request failed; rejecting it.", "status", status, "host", r.Host, "err", err)
 	w.WriteHeader(status)
