Agents and gateways do less work for each report

Cause: profile of 40 gateways and 40 agents in one process, idle: an agent listed and sorted all relays for each follower at each report, copied its status whether or not it was sent, and woke all followers ten times a second for a change of the load alone; a gateway joined the relays of all its agents for each report that had some and then woke all streams, and each wake-up encoded the manifest and compared messages. With N gateways and N agents that grows with N^4 while gateways start.

Change: the agent keeps the sorted relays with a version, copies a status only when it is sent, and wakes followers for the load alone at the interval at which they are sent it. The gateway joins relays once per demandInterval, wakes a stream only if what is sent on it changes, and encodes only what is sent. agents.go is split by duty.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -114,6 +114,14 @@
 	changed chan struct{}
 	// followers are the gateways that follow the agent.
 	followers map[*follower]struct{}
+	// relays are the followers that store chunks, sorted by address. relaysVersion counts
+	// their changes.
+	relays        []*peerpb.FleetMember
+	relaysVersion int
+	// loadPending is set while followers have not been woken for a change of the load alone,
+	// loadWokenAt is when that was last done.
+	loadPending bool
+	loadWokenAt time.Time
 	// divider divides the engine's slots among followers, quota the calls that it may
 	// receive within a second.
 	divider *slotshare.Divider
@@ -242,7 +250,14 @@
 	if next.GetLeaving() && !(a.status.GetLeaving() && a.status.GetBoot() == next.GetBoot()) {
 		a.log.Info("The engine is about to stop; gateways are notified.", "boot", report.Boot, "running", report.Running, "waiting", report.Waiting)
 	}
-	if !sameStatus(a.status, next) {
+	if !sameButLoad(a.status, next) {
+		a.publish(next)
+		return
+	}
+	a.loadPending = a.loadPending || !sameLoad(a.status, next)
+	a.status = next
+	if a.loadPending && time.Since(a.loadWokenAt) >= localLoadInterval {
+		a.loadPending, a.loadWokenAt = false, time.Now()
 		a.publish(next)
 	}
 }
@@ -261,9 +276,15 @@
 	return endpoint.CompleteVersion(layers)
 }
 
-func sameStatus(a, b *peerpb.EngineNews) bool {
-	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetRunning() == b.GetRunning() &&
-		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving()
+// sameButLoad reports whether two statuses differ in the load at most. No follower is sent
+// that more often than every localLoadInterval.
+func sameButLoad(a, b *peerpb.EngineNews) bool {
+	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetLoading() == b.GetLoading() &&
+		a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving()
+}
+
+func sameLoad(a, b *peerpb.EngineNews) bool {
+	return a.GetRunning() == b.GetRunning() && a.GetWaiting() == b.GetWaiting()
 }
 
 // publish replaces the status and wakes the followers. The caller must hold a.mu.
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -46,11 +46,11 @@
 	process         uint64
 	// relay is the gateway as a member of the spread, nil if it stores no chunks.
 	relay *peerpb.FleetMember
-	// sent is the last status sent to it, at sentAt; sentRelays and relaysSentAt are
-	// the same for the relays.
+	// sent is the last status sent to it, at sentAt. sentRelays is the version of the relays
+	// that were last sent to it, at relaysSentAt.
 	sent         *peerpb.EngineNews
 	sentAt       time.Time
-	sentRelays   []*peerpb.FleetMember
+	sentRelays   int
 	relaysSentAt time.Time
 	// echo is the clock in the gateway's last message, which arrived at echoAt.
 	echo   uint64
@@ -116,16 +116,15 @@
 		a.divider.Remove(f.gateway)
 	}
 	if f.relay != nil {
-		a.publish(a.status)
+		a.refreshRelays()
 	}
-	relays := a.relays()
+	relays := a.relays
 	a.mu.Unlock()
 	a.updater.offerRelays(relays)
 }
 
-// relays returns the followers that store chunks, sorted by address. The caller must
-// hold a.mu.
-func (a *Agent) relays() []*peerpb.FleetMember {
+// refreshRelays collects the followers that store chunks. The caller must hold a.mu.
+func (a *Agent) refreshRelays() {
 	byAddress := map[string]*peerpb.FleetMember{}
 	for f := range a.followers {
 		if f.relay != nil {
@@ -136,7 +135,12 @@
 	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
 		relays = append(relays, byAddress[address])
 	}
-	return relays
+	if slices.EqualFunc(relays, a.relays, func(x, y *peerpb.FleetMember) bool { return proto.Equal(x, y) }) {
+		return
+	}
+	a.relays = relays
+	a.relaysVersion++
+	a.publish(a.status)
 }
 
 // receive processes the gateway's messages until the stream ends.
@@ -191,8 +195,8 @@
 		return nil, false
 	}
 	f.relay = message.GetRelay().GetMember()
-	a.publish(a.status)
-	return a.relays(), true
+	a.refreshRelays()
+	return a.relays, true
 }
 
 // applyLimits takes the engine's slots and its limit of call starts from a declaration that
@@ -211,26 +215,46 @@
 	}
 }
 
+// terms are the parts of a status that differ between followers.
+type terms struct {
+	divided bool
+	granted int
+	lease   startquota.Lease
+	closing bool
+}
+
+// termsOf returns the present terms of a follower. The caller must hold a.mu.
+func (a *Agent) termsOf(f *follower) terms {
+	granted, divided := a.divider.Granted(f.gateway)
+	return terms{divided: divided, granted: granted, lease: a.quota.Lease(f.gateway), closing: a.switchAt != 0}
+}
+
 // nextStatus returns the status to send to the gateway, nil if none is due, and a
 // channel that is closed at the next change.
 func (f *follower) nextStatus() (*peerpb.EngineNews, <-chan struct{}) {
 	a := f.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now, terms := time.Now(), a.termsOf(f)
+	relaysDue, records := f.relaysDue(now), f.recordsDue(now)
+	if !relaysDue && records == nil && !f.due(now, terms) {
+		return nil, a.changed
+	}
 	status := proto.CloneOf(a.status)
-	if granted, counted := a.divider.Granted(f.gateway); counted {
-		status.Divided, status.Granted = true, uint32(granted)
+	if terms.divided {
+		status.Divided, status.Granted = true, uint32(terms.granted)
 	}
-	lease := a.quota.Lease(f.gateway)
-	status.Starts, status.LeaseNumber, status.Gateways = uint32(lease.Starts), lease.Number, uint32(a.quota.Gateways())
-	if a.switchAt != 0 {
+	status.Starts, status.LeaseNumber, status.Gateways = uint32(terms.lease.Starts), terms.lease.Number, uint32(a.quota.Gateways())
+	if terms.closing {
 		status.ClosesInMs = uint32(max(a.switchAt.Sub(boottime.Now()).Milliseconds(), 1))
 	}
-	now := time.Now()
-	f.addRelays(now, status)
-	f.addRecords(now, status)
-	if !f.due(now, status) {
-		return nil, a.changed
+	if relaysDue {
+		status.Relays = &peerpb.FleetMembers{Members: a.relays}
+		f.sentRelays, f.relaysSentAt = a.relaysVersion, now
+	}
+	if records != nil {
+		status.PromptParts = peers.EncodeRecords(records)
+		f.sentRecords, f.recordsAt = a.promptParts.Version(), now
 	}
 	status.Declarations = a.declarationAges()
 	if f.echo != 0 {
@@ -240,32 +264,27 @@
 	return status, a.changed
 }
 
-// addRelays adds the relays to the status for a gateway in this region if they changed
-// since they were last sent.
-func (f *follower) addRelays(now time.Time, status *peerpb.EngineNews) {
-	relays := f.agent.relays()
-	same := slices.EqualFunc(relays, f.sentRelays, func(x, y *peerpb.FleetMember) bool { return proto.Equal(x, y) })
-	if same || f.region != string(f.agent.config.Region) || now.Sub(f.relaysSentAt) < relaysInterval {
-		return
-	}
-	status.Relays = &peerpb.FleetMembers{Members: relays}
-	f.sentRelays, f.relaysSentAt = relays, now
+// relaysDue reports whether the relays must be sent to a gateway in this region: if they have
+// changed since they were last sent. The caller must hold a.mu.
+func (f *follower) relaysDue(now time.Time) bool {
+	return f.agent.relaysVersion != f.sentRelays && f.region == string(f.agent.config.Region) && now.Sub(f.relaysSentAt) >= relaysInterval
 }
 
 // due reports whether the status must be sent now. A change of the load alone waits for
 // the load interval; any other change is sent at once. The caller must hold a.mu.
-func (f *follower) due(now time.Time, status *peerpb.EngineNews) bool {
-	sent := f.sent
+func (f *follower) due(now time.Time, next terms) bool {
+	sent, status := f.sent, f.agent.status
 	switch {
-	case sent == nil || status.GetRelays() != nil || status.GetPromptParts() != nil || f.sentDeclared != f.agent.declaredChanges || now.Sub(f.sentAt) >= f.loadInterval():
+	case sent == nil || f.sentDeclared != f.agent.declaredChanges || now.Sub(f.sentAt) >= f.loadInterval():
+		return true
+	case (sent.GetClosesInMs() == 0) == next.closing:
 		return true
-	case (sent.GetClosesInMs() == 0) != (status.GetClosesInMs() == 0):
+	case sent.GetLeaseNumber() != next.lease.Number || next.lease.Starts > 0 && now.Sub(f.sentAt) >= leaseRenewal:
 		return true
-	case sent.GetLeaseNumber() != status.GetLeaseNumber() || status.GetStarts() > 0 && now.Sub(f.sentAt) >= leaseRenewal:
+	case sent.GetDivided() != next.divided || next.divided && int(sent.GetGranted()) != next.granted:
 		return true
 	}
-	return sent.GetUnreachable() != status.GetUnreachable() || sent.GetLeaving() != status.GetLeaving() || sent.GetBoot() != status.GetBoot() || sent.GetLoading() != status.GetLoading() ||
-		sent.GetVersion() != status.GetVersion() || sent.GetDivided() != status.GetDivided() || sent.GetGranted() != status.GetGranted()
+	return !sameButLoad(sent, status)
 }
 
 func (f *follower) loadInterval() time.Duration {
--- a/agent/prompt_parts.go
+++ b/agent/prompt_parts.go
@@ -6,6 +6,7 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
+	"github.com/zinniaseam/zinniaseam/quarantine"
 )
 
 // recordRepeat is how often unchanged records of prompt parts are sent to a gateway, since
@@ -25,17 +26,14 @@
 	}
 }
 
-// addRecords adds the records of prompt parts to a status if they are due. The caller must
-// hold a.mu.
-func (f *follower) addRecords(now time.Time, status *peerpb.EngineNews) {
-	version := f.agent.promptParts.Version()
-	if version == f.sentRecords && now.Sub(f.recordsAt) < recordRepeat {
-		return
+// recordsDue returns the records of prompt parts if they must be sent now, nil otherwise. The
+// caller must hold a.mu.
+func (f *follower) recordsDue(now time.Time) []quarantine.Record {
+	if f.agent.promptParts.Version() == f.sentRecords && now.Sub(f.recordsAt) < recordRepeat {
+		return nil
 	}
-	records := f.agent.promptParts.Records(boottime.Now())
-	if len(records) == 0 {
-		return
+	if records := f.agent.promptParts.Records(boottime.Now()); len(records) > 0 {
+		return records
 	}
-	status.PromptParts = peers.EncodeRecords(records)
-	f.sentRecords, f.recordsAt = version, now
+	return nil
 }
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -4,15 +4,12 @@
 	"cmp"
 	"context"
 	"maps"
-	"math"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/zeebo/xxh3"
-	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -21,7 +18,6 @@
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
-	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 const (
@@ -67,6 +63,8 @@
 	current map[string]*agentLink
 	// relays are the gateways that store chunks, as known to any agent of this region.
 	relays []*peerpb.FleetMember
+	// relaysChanged is set when an agent has reported other relays than before.
+	relaysChanged bool
 }
 
 // agentLink is the stream to the agent of one engine.
@@ -84,6 +82,8 @@
 	changed  chan struct{}
 	// relays are the gateways that store chunks, as known to the agent.
 	relays []*peerpb.FleetMember
+	// sendsMembers is set if this process sends the agent the list of engines.
+	sendsMembers bool
 	// version is the newest version of which the engine has all layers. reported is set
 	// after the agent's first status report.
 	version  int64
@@ -141,6 +141,7 @@
 		if link == nil {
 			ctx, cancel := context.WithCancel(a.ctx)
 			link = &agentLink{address: address, cancel: cancel, fleet: update.fleet, engines: update.engines, changed: make(chan struct{}), sameRegion: a.inOwnRegion(update.engines, address)}
+			link.sendsMembers = a.sendsMembersTo(link)
 			a.current[address] = link
 			go a.follow(ctx, address, link)
 			continue
@@ -299,9 +300,7 @@
 	}
 }
 
-// applyStatus stores the parts of a status report that do not concern the load, and
-// passes the gateways that any agent knows to store chunks to this process's relay and
-// lender.
+// applyStatus stores the parts of a status report that do not concern the load.
 func (a *agents) applyStatus(link *agentLink, status *peerpb.EngineNews) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -311,145 +310,43 @@
 		link.lease = status.GetLeaseNumber()
 		link.wake()
 	}
-	if status.GetRelays() == nil {
-		return
-	}
-	link.relays = status.GetRelays().GetMembers()
-	byAddress := map[string]*peerpb.FleetMember{}
-	for _, other := range a.current {
-		for _, m := range other.relays {
-			byAddress[m.GetAddress()] = m
-		}
-	}
-	all := make([]*peerpb.FleetMember, 0, len(byAddress))
-	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
-		all = append(all, byAddress[address])
-	}
-	a.gateway.relay.setRelays(all)
-	a.scheduler.lender.setPeers(all)
-	a.relays = all
-	for _, other := range a.current {
-		other.wake()
+	if status.GetRelays() != nil {
+		link.relays, a.relaysChanged = status.GetRelays().GetMembers(), true
 	}
 }
 
-// sendUpdates sends changes until the stream ends. The receiving side reports the
-// error.
-func (a *agents) sendUpdates(stream grpc.BidiStreamingClient[peerpb.GatewayNews, peerpb.EngineNews], link *agentLink) {
-	sent := &sentNews{GatewayNews: &peerpb.GatewayNews{}}
-	for {
-		message, changed := a.nextMessage(link, sent)
-		if message != nil && stream.Send(message) != nil {
-			return
-		}
-		select {
-		case <-changed:
-		case <-stream.Context().Done():
-			return
-		}
-	}
-}
-
-// nextMessage returns the values that have not been sent to an agent, nil if there are
-// none, and a channel that is closed at the next change. The returned values are
-// recorded in sent. Each message also carries the ages of recent declarations and a clock
-// that the agent returns; a message with these alone is sent after demandRepeat.
-func (a *agents) nextMessage(link *agentLink, sent *sentNews) (*peerpb.GatewayNews, <-chan struct{}) {
-	records, version := a.gateway.quarantine.records()
+// refreshRelays passes the gateways that any agent knows to store chunks to this process's
+// relay and lender, if agents have reported others.
+//
+// Load pattern: many gateways start at once, and each agent reports all of them several
+// times. Their reports are joined once per demandInterval and not for each report.
+func (a *agents) refreshRelays() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	message := &peerpb.GatewayNews{}
-	if sent.Gateway == "" {
-		message.Gateway, message.Region, message.Process = a.name, string(a.gateway.config.Relay.Region), a.process
-		sent.Gateway = a.name
-	}
-	if link.fleet != sent.Fleet {
-		message.Fleet, sent.Fleet = link.fleet, link.fleet
-	}
-	if link.engines != sent.Members && a.sendsMembers(link) {
-		message.Members, sent.Members = link.engines, link.engines
-	}
-	if link.demand != sent.Want {
-		message.Want, sent.Want = link.demand, link.demand
-	}
-	if state := (&peerpb.RelayState{Member: a.gateway.relay.member(link.fleet)}); !proto.Equal(state, sent.Relay) {
-		message.Relay, sent.Relay = state, state
-	}
-	if known := a.gateway.relay.manifestOf(link.fleet); link.sameRegion && known.GetVersion() != sent.Manifest.GetVersion() {
-		message.Manifest, sent.Manifest = known, known
-	}
-	now := time.Now()
-	if len(records) > 0 && a.sendsRecords(link) && (version != sent.records || now.Sub(sent.recordsAt) >= recordRepeat) {
-		message.PromptParts, sent.records, sent.recordsAt = peers.EncodeRecords(records), version, now
-	}
-	sentMs := uint64(time.Duration(a.scheduler.now()).Milliseconds())
-	if proto.Equal(message, &peerpb.GatewayNews{}) && link.lease == sent.LeaseNumber && sentMs-sent.SentMs < uint64(demandRepeat.Milliseconds()) {
-		return nil, link.changed
-	}
-	message.LeaseNumber, sent.LeaseNumber = link.lease, link.lease
-	message.StartsSent = uint32(a.scheduler.startsSent(link.address))
-	message.Declarations = a.scheduler.declarationAges(link.fleet.GetModel())
-	message.SentMs, sent.SentMs = sentMs, sentMs
-	return message, link.changed
-}
-
-// sendsMembers reports whether this process is one of the memberSenders gateways of its
-// region that send an agent the list of machines serving the same model. They are
-// chosen by rendezvous hashing, so that not every gateway sends the list.
-func (a *agents) sendsMembers(link *agentLink) bool {
-	if !link.sameRegion {
-		return false
+	if !a.relaysChanged {
+		return
 	}
-	before := 0
-	own := xxh3.HashString(a.gateway.config.Relay.Listen + link.address)
-	for _, m := range a.relays {
-		if m.GetRegion() == string(a.gateway.config.Relay.Region) && xxh3.HashString(m.GetAddress()+link.address) < own {
-			before++
+	a.relaysChanged = false
+	byAddress := map[string]*peerpb.FleetMember{}
+	for _, link := range a.current {
+		for _, m := range link.relays {
+			byAddress[m.GetAddress()] = m
 		}
 	}
-	return before < memberSenders
-}
-
-// reportDemand sends this process's slot demand to the agents until ctx ends.
-func (a *agents) reportDemand(ctx context.Context) error {
-	ticker := time.NewTicker(demandInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			a.setDemand(a.scheduler.slotDemand())
-		}
+	relays := make([]*peerpb.FleetMember, 0, len(byAddress))
+	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
+		relays = append(relays, byAddress[address])
 	}
-}
-
-func (a *agents) setDemand(demands map[string]slotshare.Demand) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	for address, link := range a.current {
-		demand, known := demands[address]
-		if !known && now.Sub(link.demandAt) >= demandRepeat {
-			link.demandAt = now
+	if slices.EqualFunc(relays, a.relays, func(x, y *peerpb.FleetMember) bool { return proto.Equal(x, y) }) {
+		return
+	}
+	a.gateway.relay.setRelays(relays)
+	a.scheduler.lender.setPeers(relays)
+	a.relays = relays
+	for _, link := range a.current {
+		if sends := a.sendsMembersTo(link); sends != link.sendsMembers {
+			link.sendsMembers = sends
 			link.wake()
 		}
-		if !known || link.demand != nil && now.Sub(link.demandAt) < link.demandRepeat() && (!link.sameRegion || !demandChanged(link.demand, demand)) {
-			continue
-		}
-		link.demand, link.demandAt = &peerpb.SlotWant{Calls: float32(demand.Calls), Open: uint32(demand.Open)}, now
-		link.wake()
-	}
-}
-
-// demandRepeat returns how often an unchanged demand is sent. Each message extends a lease.
-func (link *agentLink) demandRepeat() time.Duration {
-	if link.leased {
-		return leasedDemandRepeat
 	}
-	return demandRepeat
-}
-
-func demandChanged(sent *peerpb.SlotWant, demand slotshare.Demand) bool {
-	return int(sent.GetOpen()) != demand.Open || math.Abs(float64(sent.GetCalls())-demand.Calls) > demandThreshold*demand.Calls
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -255,7 +255,7 @@
 	t.Helper()
 	g := NewWithT(t)
 	port := f.port
-	host := engineCount + index + 1
+	host := f.config.engines + index + 1
 	callers, ready := address(host, port), address(host, port+1)
 	regions := map[core.ZoneID]core.RegionID{"z": "r"}
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -276,13 +276,23 @@
 	r.onManifest()
 }
 
-// manifestOf returns the manifest of a declared version, nil while it is not known.
-func (r *relay) manifestOf(target *peerpb.FleetNews) *peerpb.DeclaredManifest {
+// manifestVersion returns the ID of a declared version if its manifest is known, "" otherwise.
+func (r *relay) manifestVersion(target *peerpb.FleetNews) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.manifest == nil || r.manifest.Version != r.config.Version(target.GetModel(), target.GetVersion()) {
+		return ""
+	}
+	return string(r.manifest.Version)
+}
+
+// manifestOf returns the manifest of a declared version, nil while it is not known.
+func (r *relay) manifestOf(target *peerpb.FleetNews) *peerpb.DeclaredManifest {
+	if r.manifestVersion(target) == "" {
 		return nil
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return &peerpb.DeclaredManifest{Version: string(r.manifest.Version), Whole: r.manifest.Whole[:], Manifest: transfer.EncodeManifest(r.manifest)}
 }
 
