A gateway keeps in touch with the engines of its region and a few of each other region

Cause: a stream from each gateway to the agent of each engine; at 99 gateways and 235 engines 23,265 streams, each woken twice a second and more by leases and demands, and by probes.

Change: package reach chooses, without I/O, all engines of the gateway's region and by rendezvous hashing at least eight of each other region, more if there are few gateways. Calls are placed on these; a slot of any other engine can be borrowed from a gateway of the zone. Agents tell how many gateways of each region they hear, and gateways add these up, so that shares of common bounds (retry slack) stay shares of the fleet; a region of which nothing is known counts as the largest known one.

Weighed: all engines (today), subsets by rendezvous over the fleet (a gateway would serve its calls across regions), an elected pair a zone that relays reports and grants (one more hop of age, a gap when the pair dies, rights to divide twice).

Measured by count: streams 23,265 to 7,821 at 99 and 235, 3,344 to 1,723 at 38 and 88, 98 and 98 at 7 and 14, 782,000 to 91,220 at 340 and 2,300.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -118,6 +118,10 @@
 	// their changes.
 	relays        []*peerpb.FleetMember
 	relaysVersion int
+	// regionGateways is how many gateways of each region have sent a message lately, and
+	// regionsVersion counts its changes.
+	regionGateways map[string]int
+	regionsVersion int
 	// loadPending is set while followers have not been woken for a change of the load alone,
 	// loadWokenAt is when that was last done.
 	loadPending bool
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -59,6 +59,8 @@
 	// recordsAt.
 	sentRecords uint64
 	recordsAt   time.Time
+	// sentRegions is the version of the numbers of gateways that were sent to it.
+	sentRegions int
 	// sentDeclared is the number of changes of declarations that were sent to it.
 	sentDeclared int
 }
@@ -256,6 +258,9 @@
 		status.PromptParts = peers.EncodeRecords(records)
 		f.sentRecords, f.recordsAt = a.promptParts.Version(), now
 	}
+	if f.sentRegions != a.regionsVersion {
+		status.RegionGateways, f.sentRegions = a.encodeRegionGateways(), a.regionsVersion
+	}
 	status.Declarations = a.declarationAges()
 	if f.echo != 0 {
 		status.EchoMs, status.EchoHeldMs = f.echo, uint32(max(boottime.Now().Sub(f.echoAt).Milliseconds(), 0))
@@ -317,7 +322,37 @@
 		slots, _ := a.divider.Granted(gateway)
 		return slots
 	})
-	if divided || renewed {
+	if a.countGateways() || divided || renewed {
 		a.publish(a.status)
 	}
 }
+
+// countGateways counts the gateways of each region and reports whether that changed. A gateway
+// follows few agents of other regions, so each adds up what the agents know of their own. The
+// caller must hold a.mu.
+func (a *Agent) countGateways() bool {
+	counts := map[string]int{}
+	counted := map[string]bool{}
+	for f := range a.followers {
+		if f.gateway != "" && !counted[f.gateway] && a.quota.Heard(f.gateway) {
+			counted[f.gateway] = true
+			counts[f.region]++
+		}
+	}
+	if maps.Equal(counts, a.regionGateways) {
+		return false
+	}
+	a.regionGateways = counts
+	a.regionsVersion++
+	return true
+}
+
+// encodeRegionGateways returns the numbers of gateways in the order of the regions. The caller
+// must hold a.mu.
+func (a *Agent) encodeRegionGateways() []*peerpb.RegionGateways {
+	var encoded []*peerpb.RegionGateways
+	for _, region := range slices.Sorted(maps.Keys(a.regionGateways)) {
+		encoded = append(encoded, &peerpb.RegionGateways{Region: region, Count: uint32(a.regionGateways[region])})
+	}
+	return encoded
+}
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -43,6 +43,7 @@
 
 func providePlacement(s *platform.Settings) placement.Config {
 	return placement.Config{
+		Name: string(s.VM),
 		Zone: s.Zone, Region: s.Region, ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
 		VersionSwitch: s.Bounds.VersionSwitch, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/experiment/placing/gateway.go
+++ b/experiment/placing/gateway.go
@@ -30,7 +30,7 @@
 
 func newGateway(d *deployment, index int, view *fleet.View) *gateway {
 	zone := index % 3
-	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, zone: zone, emptyUntil: map[*gateway]boottime.Instant{}, releaseBorrowed: map[*placement.Ticket]func(){}, leases: map[string]uint64{}, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{
+	g := &gateway{name: fmt.Sprintf("g%d", index), deployment: d, zone: zone, emptyUntil: map[*gateway]boottime.Instant{}, releaseBorrowed: map[*placement.Ticket]func(){}, leases: map[string]uint64{}, waiting: map[*placement.Ticket]*call{}, placer: placement.New(placement.Config{Name: fmt.Sprint("g", index),
 		Zone: core.ZoneID("z" + string(rune('0'+zone))), Region: core.RegionID("r" + string(rune('0'+zone))),
 		VersionSwitch: 8 * time.Second, ColdOver: coldOver, ColdSlack: coldSlack, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
 	})}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -18,6 +18,7 @@
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
+	"github.com/zinniaseam/zinniaseam/reach"
 )
 
 const (
@@ -64,6 +65,8 @@
 	// on them, by service.
 	view    *fleet.View
 	updates map[core.ServiceID]*serviceUpdate
+	// counted is the largest number of gateways of each region that agents have heard from.
+	counted map[core.RegionID]int
 	current map[string]*agentLink
 	// relays are the gateways that store chunks, as known to any agent of this region.
 	relays []*peerpb.FleetMember
@@ -130,9 +133,39 @@
 func (a *agents) setView(view *fleet.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ctx == nil || view.Deployment == nil || a.view != nil && view.SameContent(a.view) {
+	if a.ctx != nil && view.Deployment != nil && (a.view == nil || !view.SameContent(a.view)) {
+		a.applyView(view)
+	}
+}
+
+// learnGateways adds up the gateways that agents have heard from.
+func (a *agents) learnGateways(status *peerpb.EngineNews) {
+	if len(status.GetRegionGateways()) == 0 {
 		return
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, region := range status.GetRegionGateways() {
+		id := core.RegionID(region.GetRegion())
+		a.counted[id] = max(a.counted[id], int(region.GetCount()))
+	}
+	count := reach.CountGateways(a.allRegions(), a.counted)
+	a.gateway.budgets.setGateways(count)
+	if a.scheduler.updateGateways(count) && a.view != nil {
+		a.applyView(a.view)
+	}
+}
+
+func (a *agents) allRegions() []core.RegionID {
+	all := map[core.RegionID]bool{}
+	for _, region := range a.regions {
+		all[region] = true
+	}
+	return slices.Collect(maps.Keys(all))
+}
+
+// applyView is setView for a view that differs from the last one. The caller must hold a.mu.
+func (a *agents) applyView(view *fleet.View) {
 	a.view = view
 	updates := a.updatesOf(view)
 	for address, link := range a.current {
@@ -210,7 +243,9 @@
 		a.updates[service] = update
 		a.gateway.relay.setTarget(update.fleet, update.engines.GetMembers())
 		for _, endpoint := range endpoints {
-			updates[endpoint.Address] = update
+			if a.scheduler.inTouch(endpoint.Address) {
+				updates[endpoint.Address] = update
+			}
 		}
 	}
 	return updates
@@ -315,8 +350,8 @@
 			a.gateway.quarantine.learn(peers.DecodeRecords(status.GetPromptParts()))
 		}
 		a.scheduler.updateEngine(status)
-		a.gateway.budgets.setGateways(int(status.GetGateways()))
 		a.applyStatus(link, status)
+		a.learnGateways(status)
 	}
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -255,12 +255,12 @@
 	t.Helper()
 	g := NewWithT(t)
 	port := f.port
-	host := f.config.engines + index + 1
+	host := max(engineCount, f.config.engines) + index + 1
 	callers, ready := address(host, port), address(host, port+1)
 	regions := map[core.ZoneID]core.RegionID{"z": "r"}
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
 	placer := placement.New(placement.Config{
-		Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack,
+		Name: address(host, port+3), Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack,
 		VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, uint64(index))),
 	})
 	gw, err := gateway.New(gateway.Config{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 	g.agents = &agents{
 		name: string(config.Name), process: rand.Uint64(),
 		pool: pool, port: config.AgentPort, regions: config.Regions,
-		scheduler: g.scheduler, gateway: g, current: map[string]*agentLink{}, updates: map[core.ServiceID]*serviceUpdate{}, pauses: boottime.NewPauseDetector(now),
+		scheduler: g.scheduler, gateway: g, current: map[string]*agentLink{}, updates: map[core.ServiceID]*serviceUpdate{}, counted: map[core.RegionID]int{}, pauses: boottime.NewPauseDetector(now),
 	}
 	g.budgets.setGateways(config.Gateways)
 	placer.UpdateGateways(config.Gateways)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -14,7 +14,6 @@
 func (s *scheduler) updateEngine(status *peerpb.EngineNews) {
 	s.update(func(p *placement.Placer, now boottime.Instant) {
 		p.UpdatePermit(status.GetEngine(), startPermit(status))
-		p.UpdateGateways(int(status.GetGateways()))
 		if status.GetLeaving() && p.EngineLeaving(now, status.GetEngine(), status.GetBoot()) {
 			endpointNotices.Add("leaving_by_agent", 1)
 		}
@@ -31,6 +30,20 @@
 	})
 }
 
+// updateGateways records the number of gateways and reports whether that changed with which
+// engines this process keeps in touch.
+func (s *scheduler) updateGateways(count int) (changed bool) {
+	s.update(func(p *placement.Placer, _ boottime.Instant) { changed = p.UpdateGateways(count) })
+	return changed
+}
+
+// inTouch reports whether this process keeps in touch with the agent of an engine.
+func (s *scheduler) inTouch(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.InTouch(engine)
+}
+
 // endPermit ends the permit for the calls to an engine when its agent can't be heard any more.
 func (s *scheduler) endPermit(engine string) {
 	s.mu.Lock()
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,6 +15,8 @@
 
 // Config configures a Placer.
 type Config struct {
+	// Name is the name of this process, which differs between gateways.
+	Name   string
 	Zone   core.ZoneID
 	Region core.RegionID
 	// ColdOver and ColdSlack bound the calls per second that a cold endpoint may receive
@@ -76,6 +77,8 @@
 	// first byte.
 	arrivals map[core.ServiceID]*arrivalRate
 	slowest  map[core.ServiceID]*slowest
+	// inTouch are the addresses of the engines with whose agents this process keeps in touch.
+	inTouch map[string]bool
 	// notices are what endpoints have said about themselves.
 	notices *notices.Book
 }
@@ -109,7 +112,6 @@
 			delete(p.endpoints, id)
 		}
 	}
-	p.byService = map[core.ServiceID][]*endpointState{}
 	for id, endpoint := range view.Endpoints {
 		state := p.endpoints[id]
 		if state == nil || state.Boot != endpoint.Boot || state.Address != endpoint.Address {
@@ -117,11 +119,8 @@
 			p.endpoints[id] = state
 		}
 		p.refresh(state, endpoint)
-		p.byService[endpoint.Service] = append(p.byService[endpoint.Service], state)
-	}
-	for _, list := range p.byService {
-		slices.SortFunc(list, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	p.chooseEndpoints()
 	p.forgetSenders(now)
 	p.forgetNotices(now)
 }
--- a/placement/starts.go
+++ b/placement/starts.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -32,15 +33,19 @@
 	return p.config.MaxStarts(&backend)
 }
 
-// UpdateGateways records how many gateways an agent has heard from lately.
-func (p *Placer) UpdateGateways(count int) {
+// UpdateGateways records how many gateways there are, if it is the largest number so far, and
+// reports whether that changed with which engines this process keeps in touch.
+func (p *Placer) UpdateGateways(count int) bool {
 	if count <= p.gateways {
-		return
+		return false
 	}
 	p.gateways = count
+	before := p.inTouch
+	p.chooseEndpoints()
 	for _, e := range p.endpoints {
 		p.refreshPlainPermit(e)
 	}
+	return !maps.Equal(before, p.inTouch)
 }
 
 // refreshPlainPermit sets the permit for an endpoint without an agent to an even share of its
--- a/startquota/quota.go
+++ b/startquota/quota.go
@@ -118,6 +118,12 @@
 // last Divide.
 func (q *Quota) Gateways() int { return q.gateways }
 
+// Heard reports whether a gateway is among the Gateways.
+func (q *Quota) Heard(gateway string) bool {
+	h := q.holders[gateway]
+	return h != nil && len(h.leases) > 0
+}
+
 // Seen records a message of a gateway.
 func (q *Quota) Seen(now boottime.Instant, gateway string, report Report) {
 	h := q.holders[gateway]
