--- a/gateway/engines_test.go
+++ b/gateway/engines_test.go
@@ -72,6 +72,8 @@
 	record        *engineRecord
 	// shape is the shape of the answers that begin from now on.
 	shape atomic.Int32
+	// leaving is set while the engine tells its agent that it is about to stop.
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// run is nil while the engine is down.
@@ -262,7 +264,7 @@
 	}
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	report := agent.EngineReport{Boot: run.born, Running: len(run.slots), Waiting: int(run.waiting.Load()), Loading: run.loading, Pace: 1}
+	report := agent.EngineReport{Boot: run.born, Running: len(run.slots), Waiting: int(run.waiting.Load()), Loading: run.loading, Pace: 1, Leaving: e.leaving.Load()}
 	if run.version > 0 {
 		report.Weights = []fleet.LoadedLayers{{Model: engineModel, Version: run.version, From: 0, To: 1}}
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -142,6 +142,14 @@
 
 // startOn runs a gateway that follows a store and returns its address.
 func startOn(t *testing.T, s metastore.Store) string {
+	t.Helper()
+	address, _ := startStoppable(t, s)
+	return address
+}
+
+// startStoppable is startOn with a function that begins the gateway's planned stop, and returns
+// a channel that is closed when the gateway has stopped.
+func startStoppable(t *testing.T, s metastore.Store) (address string, stop func() <-chan struct{}) {
 	t.Helper()
 	g := NewWithT(t)
 	callers, ready := freeAddress(t), freeAddress(t)
@@ -156,13 +164,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- gw.Run(ctx) }()
+	stopped := make(chan struct{})
+	go func() {
+		done <- gw.Run(ctx)
+		close(stopped)
+	}()
 	t.Cleanup(func() {
 		cancel()
 		g.Eventually(done, 10*time.Second).Should(Receive(BeNil()))
 	})
 	g.Eventually(func() int { return status(http.Get("http://" + ready + "/")) }, 5*time.Second, 10*time.Millisecond).Should(Equal(http.StatusOK))
-	return callers
+	return callers, func() <-chan struct{} {
+		cancel()
+		return stopped
+	}
 }
 
 func status(response *http.Response, err error) int {
