--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,8 @@
 	Weights []fleet.LoadedLayers
 	// Pace is above 1 for an engine that is slower than declared.
 	Pace float64
+	// Leaving is set if the engine is about to stop.
+	Leaving bool
 	// Orders is the number of load orders that the engine has begun since its start.
 	Orders int64
 }
@@ -112,6 +114,18 @@
 	changed chan struct{}
 	// followers are the gateways that follow the agent.
 	followers map[*follower]struct{}
+	// relays are the followers that store chunks, sorted by address. relaysVersion counts
+	// their changes.
+	relays        []*peerpb.FleetMember
+	relaysVersion int
+	// regionGateways is how many gateways of each region have sent a message lately, and
+	// regionsVersion counts its changes.
+	regionGateways map[string]int
+	regionsVersion int
+	// loadPending is set while followers have not been woken for a change of the load alone,
+	// loadWokenAt is when that was last done.
+	loadPending bool
+	loadWokenAt time.Time
 	// divider divides the engine's slots among followers, quota the calls that it may
 	// receive within a second.
 	divider *slotshare.Divider
@@ -235,9 +249,19 @@
 	a.boot = report.Boot
 	next := &peerpb.EngineNews{
 		Engine: a.config.EngineAddress, Boot: report.Boot, Running: uint32(report.Running), Waiting: uint32(report.Waiting),
-		Loading: report.Loading, Version: version,
+		Loading: report.Loading, Version: version, Leaving: report.Leaving,
 	}
-	if !sameStatus(a.status, next) {
+	if next.GetLeaving() && !(a.status.GetLeaving() && a.status.GetBoot() == next.GetBoot()) {
+		a.log.Info("The engine is about to stop; gateways are notified.", "boot", report.Boot, "running", report.Running, "waiting", report.Waiting)
+	}
+	if !sameButLoad(a.status, next) {
+		a.publish(next)
+		return
+	}
+	a.loadPending = a.loadPending || !sameLoad(a.status, next)
+	a.status = next
+	if a.loadPending && time.Since(a.loadWokenAt) >= localLoadInterval {
+		a.loadPending, a.loadWokenAt = false, time.Now()
 		a.publish(next)
 	}
 }
@@ -256,9 +280,15 @@
 	return endpoint.CompleteVersion(layers)
 }
 
-func sameStatus(a, b *peerpb.EngineNews) bool {
-	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetRunning() == b.GetRunning() &&
-		a.GetWaiting() == b.GetWaiting() && a.GetLoading() == b.GetLoading() && a.GetVersion() == b.GetVersion()
+// sameButLoad reports whether two statuses differ in the load at most. No follower is sent
+// that more often than every localLoadInterval.
+func sameButLoad(a, b *peerpb.EngineNews) bool {
+	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetLoading() == b.GetLoading() &&
+		a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving()
+}
+
+func sameLoad(a, b *peerpb.EngineNews) bool {
+	return a.GetRunning() == b.GetRunning() && a.GetWaiting() == b.GetWaiting()
 }
 
 // publish replaces the status and wakes the followers. The caller must hold a.mu.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,12 +8,15 @@
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/notices"
 	"github.com/zinniaseam/zinniaseam/rollout"
 	"github.com/zinniaseam/zinniaseam/startquota"
 )
 
 // Config configures a Placer.
 type Config struct {
+	// Name is the name of this process, which differs between gateways.
+	Name   string
 	Zone   core.ZoneID
 	Region core.RegionID
 	// ColdOver and ColdSlack bound the calls per second that a cold endpoint may receive
@@ -75,6 +77,10 @@
 	// first byte.
 	arrivals map[core.ServiceID]*arrivalRate
 	slowest  map[core.ServiceID]*slowest
+	// inTouch are the addresses of the engines with whose agents this process keeps in touch.
+	inTouch map[string]bool
+	// notices are what endpoints have said about themselves.
+	notices *notices.Book
 }
 
 // New returns a placer without endpoints.
@@ -83,12 +89,19 @@
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, senders: map[string]*startquota.Sender{}, declared: map[string]*rollout.Declarations{},
 		arrivals: map[core.ServiceID]*arrivalRate{}, slowest: map[core.ServiceID]*slowest{},
+		notices: notices.NewBook(),
 	}
 }
 
 // SetView replaces the view of the fleet.
 func (p *Placer) SetView(now boottime.Instant, view *fleet.View) {
+	same := view.SameContent(p.view)
 	p.view = view
+	if same {
+		p.forgetSenders(now)
+		p.forgetNotices(now)
+		return
+	}
 	for model, version := range view.Versions {
 		at := view.DeclaredAt[model]
 		// A process that reads a version without delay has read all versions before it.
@@ -99,7 +112,6 @@
 			delete(p.endpoints, id)
 		}
 	}
-	p.byService = map[core.ServiceID][]*endpointState{}
 	for id, endpoint := range view.Endpoints {
 		state := p.endpoints[id]
 		if state == nil || state.Boot != endpoint.Boot || state.Address != endpoint.Address {
@@ -107,16 +119,15 @@
 			p.endpoints[id] = state
 		}
 		p.refresh(state, endpoint)
-		p.byService[endpoint.Service] = append(p.byService[endpoint.Service], state)
-	}
-	for _, list := range p.byService {
-		slices.SortFunc(list, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	p.chooseEndpoints()
 	p.forgetSenders(now)
+	p.forgetNotices(now)
 }
 
 func (p *Placer) refresh(state *endpointState, endpoint *fleet.Endpoint) {
 	state.Endpoint = *endpoint
+	state.said = p.notices.Lookup(subjectOf(&state.Endpoint))
 	if p.view.Deployment == nil {
 		return
 	}
@@ -225,7 +236,7 @@
 	switch {
 	case best != nil && (best.profile == nil || !p.reserved(now, ticket)):
 		p.place(now, ticket, best, expected)
-	case candidates == 0 && !p.mayBecomeEligible(request):
+	case candidates == 0 && !p.mayBecomeEligible(now, ticket):
 		p.reject(now, ticket, core.ReasonNoEndpoint)
 	case p.cannotMeetDeadline(now, ticket, ahead):
 		p.reject(now, ticket, core.ReasonOverloaded)
