--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -35,6 +35,15 @@
 // callerConn is a connection of a caller.
 type callerConn struct{ net.Conn }
 
+// CloseWrite ends the answers. net/http calls it before it closes a connection on which the
+// caller is still sending, so that the caller can read the last answer.
+func (c callerConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return c.Close()
+}
+
 // Write implements net.Conn.
 func (c callerConn) Write(data []byte) (int, error) {
 	written := 0
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -113,3 +113,23 @@
 		return "0"
 	}, 15*time.Second, 100*time.Millisecond).Should(Equal("1"), "the connection is closed too")
 }
+
+// The caller is still sending when its call is rejected. It gets the rejection, and not a
+// reset of its connection.
+func TestACallThatIsTooLargeGetsItsRejectionWhileItIsBeingSent(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := start(t, "non_idempotent", newBackend(t, echo))
+	body := make([]byte, 16<<20)
+	for range 20 {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nX-Timeout-Ms: 2000\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n", len(body))
+		go func() { _, _ = conn.Write(body) }()
+		time.Sleep(20 * time.Millisecond)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		response.Body.Close()
+		conn.Close()
+	}
+}
