--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -42,6 +43,8 @@
 	timeout      time.Duration
 	// parts is the X-Prompt-Prefix of a model call, "" for other calls.
 	parts string
+	// key is the consumer's key, the first tenant's if it is empty.
+	key string
 }
 
 // reply is what the consumer saw. err is set if the connection failed or the answer ended
@@ -76,13 +79,14 @@
 	request.GetBody = nil // a request is never repeated under the same id
 	request.Header.Set("X-Request-Id", r.id)
 	request.Header.Set("X-Timeout-Ms", fmt.Sprint(call.timeout.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+apiKey)
+	request.Header.Set("Authorization", "Bearer "+cmp.Or(call.key, apiKey))
 	if call.parts != "" {
 		request.Header.Set("X-Model", modelName)
 		request.Header.Set("X-Token-Count", "973,126")
 		request.Header.Set("X-Prompt-Prefix", call.parts)
 	}
 	c.deployment.record.printf("consumer: %s %s %s sent to machine %d, %d bytes, parts %s", r.id, call.method, call.path, c.machine, len(call.body), call.parts)
+	c.deployment.noteSent(r.id, sent)
 	response, err := c.client.Do(request)
 	if err != nil {
 		r.err = err
@@ -95,5 +99,11 @@
 	return r
 }
 
+func (d *deployment) noteSent(id string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent[id] = at
+}
+
 // complete reports whether the answer is a success that ended as a complete one.
 func (r reply) complete() bool { return r.err == nil && r.status/100 == 2 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,9 @@
 	host   = "jepu9.example"
 	apiKey = "jnbanfqasnmgkcuyj8pj"
 	tenant = "bozi300"
+	// secondKey is the key of a second tenant.
+	secondKey    = "bvk9m68k7b2ex5wa5xwy"
+	secondTenant = "kute114"
 )
 
 // deployment is a small deployment on loopback addresses, one for each machine.
@@ -52,8 +56,15 @@
 	// crashes are when a runner ended itself.
 	crashes []crash
 	runners map[string]*process
+	closed  bool
+	// sent is when consumers sent their requests, arrivals are those that arrived at a server.
+	sent     map[string]time.Time
+	arrivals []arrival
 }
 
+// arrival is a request that a consumer sent and a server began to run.
+type arrival struct{ sent, arrived time.Time }
+
 // crash is the end of a runner under a request.
 type crash struct {
 	request string
@@ -85,6 +96,7 @@
 	}
 	d := &deployment{
 		dir: dir, store: newStore(), record: &record{file: file, from: time.Now()}, ran: map[string]int{}, done: map[string]bool{}, runners: map[string]*process{},
+		sent: map[string]time.Time{},
 	}
 	for range 50 {
 		d.prefix = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
@@ -118,13 +130,23 @@
 
 // close ends all processes and removes the temporary folder.
 func (d *deployment) close() {
-	for i := len(d.ends) - 1; i >= 0; i-- {
-		d.ends[i]()
+	d.mu.Lock()
+	d.closed = true
+	ends := d.ends
+	d.mu.Unlock()
+	for i := len(ends) - 1; i >= 0; i-- {
+		ends[i]()
 	}
 	os.RemoveAll(d.dir)
 	d.record.file.Close()
 }
 
+func (d *deployment) closing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
+}
+
 // process is a process that the case has started. It ends with the case.
 type process struct {
 	cmd    *exec.Cmd
@@ -136,6 +158,9 @@
 	p.cmd.Env = append(os.Environ(), environment...)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if d.closing() {
+		return nil, errors.New("the case is over")
+	}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -259,6 +284,7 @@
 		switch words[0] {
 		case "run":
 			d.ran[words[1]]++
+			d.arrivals = append(d.arrivals, arrival{d.sent[words[1]], time.Now()})
 		case "done":
 			d.done[words[1]] = true
 		case "order":
@@ -324,8 +350,11 @@
 func (d *deployment) putConfig(version int, routes, services []map[string]any) {
 	d.store.put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []any{apiKey}, "priority": 1, "allowed-regions": []any{}}},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": tenant, "api-keys": []any{apiKey}, "priority": 1, "allowed-regions": []any{}},
+			map[string]any{"name": secondTenant, "api-keys": []any{secondKey}, "priority": 1, "allowed-regions": []any{}},
+		},
 	})
 	d.record.printf("operator: manifest %d acknowledged", version)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,12 @@
 	gap                time.Duration
 	// poison is the part of a prompt on which the runner crashes.
 	poison string
+	// crashRate is the number of requests within a second above which a cold server crashes, 0
+	// for none. It is cold until coldUntil.
+	crashRate int
+	coldFor   time.Duration
+	coldUntil time.Time
+	arrivals  []time.Time
 
 	running atomic.Int64
 	mu      sync.Mutex
@@ -53,9 +60,12 @@
 	flags.IntVar(&r.pieceBytes, "piece-bytes", 800, "bytes of a part of a body")
 	flags.DurationVar(&r.gap, "gap", 15*time.Millisecond, "time between two events or parts")
 	flags.StringVar(&r.poison, "poison", "", "part of a prompt that crashes the runner")
+	flags.IntVar(&r.crashRate, "crash-rate", 0, "requests within a second that crash a cold server")
+	flags.DurationVar(&r.coldFor, "cold", 0, "time for which the server is cold")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
+	r.coldUntil = time.Now().Add(r.coldFor)
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return err
@@ -111,9 +121,23 @@
 	if streamed {
 		return r.stream(conn, request, id)
 	}
+	r.bearRate(id)
 	return r.plain(conn, id)
 }
 
+// bearRate crashes the server if it is cold and gets well above what it tolerates.
+func (r *runner) bearRate(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.arrivals = slices.DeleteFunc(r.arrivals, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	r.arrivals = append(r.arrivals, now)
+	if r.crashRate > 0 && len(r.arrivals) > r.crashRate && now.Before(r.coldUntil) {
+		fmt.Printf("crash %s\n", id)
+		os.Exit(3)
+	}
+}
+
 func (r *runner) write(conn net.Conn, status int, headers string, body []byte) bool {
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headers, len(body), body)
 	return err == nil
