Review case 5: a sound prompt part is kept away along with the harmful one

Cause: each crash counts against all shared parts of the cut calls. Four crashes between two sound calls quarantine the part that they share with the harmful ones, and a harmful call can be its trial.

--- a/review/standin/case_poison_sound.go
+++ b/review/standin/case_poison_sound.go
@@ -10,14 +10,17 @@
 const (
 	sharedPart = "5c1e07a2"
 	otherPart  = "77aa0c1e"
-	// soundGap is the time between two sound requests with the shared part, harmfulGap that
-	// between two requests with the part that crashes runners, and otherGap that of others.
-	soundGap   = 1800 * time.Millisecond
+	// soundGap is the time between two groups of soundGroup sound requests with the shared part,
+	// harmfulGap that between two requests with the part that crashes runners, and otherGap that
+	// of others.
+	soundGap   = 3600 * time.Millisecond
+	soundGroup = 3
 	harmfulGap = 160 * time.Millisecond
 	otherGap   = 100 * time.Millisecond
-	// calmTime is before the first harmful request, harmfulTime from then on.
-	calmTime    = 38 * time.Second
-	harmfulTime = 55 * time.Second
+	// calmTime is before the first harmful request, which comes 1.2 s after a group of sound
+	// ones, and harmfulTime from then on.
+	calmTime    = 8*soundGap + 1200*time.Millisecond
+	harmfulTime = 48 * time.Second
 	// minSample is how many requests of each kind the rule wants.
 	minSample = 20
 )
@@ -40,34 +43,36 @@
 	var mu sync.Mutex
 	var samples []sample
 	var open sync.WaitGroup
-	// Each flow sends one request per gap, at each consumer in turn.
-	flow := func(gap time.Duration, from time.Time, key string, parts func() string, seen func(sent time.Time, r reply)) {
+	// Each flow sends a group of requests per gap, at each consumer in turn.
+	flow := func(group int, gap time.Duration, from time.Time, key string, parts func() string, seen func(sent time.Time, r reply)) {
 		open.Add(1)
 		go func() {
 			defer open.Done()
 			time.Sleep(time.Until(from))
 			for i := 0; time.Now().Before(end); i++ {
-				open.Add(1)
-				go func() {
-					defer open.Done()
-					sent := time.Now()
-					c := streamCall(parts())
-					c.key = key
-					seen(sent, consumers[i%len(consumers)].send(c))
-				}()
-				time.Sleep(gap)
+				for j := range group {
+					open.Add(1)
+					go func() {
+						defer open.Done()
+						sent := time.Now()
+						c := streamCall(parts())
+						c.key = key
+						seen(sent, consumers[(i+j)%len(consumers)].send(c))
+					}()
+				}
+				time.Sleep(time.Until(from.Add(time.Duration(i+1) * gap)))
 			}
 		}()
 	}
 	ignore := func(time.Time, reply) {}
-	flow(otherGap, began, apiKey, func() string { return otherPart + ":800," + newRequestID()[:8] + ":173" }, ignore)
-	flow(soundGap, began, secondKey, func() string { return sharedPart + ":800," + newRequestID()[:8] + ":173" }, func(sent time.Time, r reply) {
+	flow(1, otherGap, began, apiKey, func() string { return otherPart + ":800," + newRequestID()[:8] + ":173" }, ignore)
+	flow(soundGroup, soundGap, began, secondKey, func() string { return sharedPart + ":800," + newRequestID()[:8] + ":173" }, func(sent time.Time, r reply) {
 		mu.Lock()
 		defer mu.Unlock()
 		samples = append(samples, sample{sent, r.status == http.StatusOK})
 	})
 	if trouble {
-		flow(harmfulGap, harmfulFrom, secondKey, func() string { return sharedPart + ":800," + poisonPart + ":100," + newRequestID()[:8] + ":73" }, ignore)
+		flow(1, harmfulGap, harmfulFrom, secondKey, func() string { return sharedPart + ":800," + poisonPart + ":100," + newRequestID()[:8] + ":73" }, ignore)
 	}
 	open.Wait()
 
