Rejections are logged and counted by what they rest on

Cause: the lines of a false rejection could not tell the hypotheses of REFUSED apart. Change: an answer carries its provenance (exchanges before it on the connection, bytes before the request, request written whole); the line of an endpoint's rejection has it and the ID that the answer bore, the caller's refusal the endpoints, an answer to another request its status and ID. endpoint_rejections counts rejections as named, unnamed, premature. No decision changed.

--- a/forward/call.go
+++ b/forward/call.go
@@ -65,6 +65,8 @@
 
 // Classification is the meaning of the head of an answer.
 type Classification struct {
+	// AnswerID is the request ID that the answer bears, empty if it bears none.
+	AnswerID core.RequestID
 	// Mismatched is set if the answer belongs to another request.
 	Mismatched bool
 	// Unidentified is set if the answer is a rejection that does not name its request.
@@ -87,6 +89,17 @@
 	Load *Load
 }
 
+// Provenance is what is known about where an answer comes from.
+type Provenance struct {
+	// Exchanges is the number of requests that the connection carried before this one.
+	Exchanges int
+	// Premature is set if bytes had arrived before the request was written.
+	Premature bool
+	// RequestWritten is set if the complete request had been written when the head of the
+	// answer had arrived.
+	RequestWritten bool
+}
+
 // Dialect translates between calls and HTTP messages.
 type Dialect interface {
 	// Request returns the HTTP request of an attempt, with its body.
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -33,8 +33,8 @@
 	raw     net.Conn
 	reader  *headReader
 	writer  *bufio.Writer
-	// fresh is set until the connection is used for a second request.
-	fresh bool
+	// exchanges is the number of requests before the present one.
+	exchanges int
 	// keepFor is how long the connection is kept idle. It and idleSince are guarded by
 	// the pool.
 	keepFor   time.Duration
@@ -52,7 +52,7 @@
 
 func newConn(pool *Pool, address string, raw net.Conn) *conn {
 	c := &conn{
-		pool: pool, address: address, raw: raw, fresh: true, keepFor: defaultIdle, state: connBusy,
+		pool: pool, address: address, raw: raw, keepFor: defaultIdle, state: connBusy,
 		reader: newHeadReader(raw), writer: bufio.NewWriterSize(raw, writeBuffer),
 		readable: make(chan error, 1), resume: make(chan struct{}, 1),
 	}
@@ -95,7 +95,7 @@
 		return false
 	}
 	c.state = connBusy
-	c.fresh = false
+	c.exchanges++
 	return true
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -16,6 +16,7 @@
 	Status         int
 	Header         http.Header
 	Classification Classification
+	Provenance     Provenance
 	// Framed is set if the message marks the length or the end of the body. Otherwise the
 	// body ends when the endpoint closes the connection; a reset interrupts it.
 	Framed bool
@@ -31,6 +32,9 @@
 	reuse bool
 }
 
+// maxLoggedID bounds the request ID of an answer in an error, in bytes.
+const maxLoggedID = 64
+
 // Do sends an attempt and waits for the head of its answer. mayRepeat is set if the call
 // may run more than once, so that any idle connection may be used. When ctx ends, the
 // connection is closed, which cancels the endpoint's work. Errors wrap ErrNotSent or
@@ -67,6 +71,7 @@
 // body.
 func (c *conn) exchange(dialect Dialect, attempt Attempt) (*Answer, error) {
 	request := dialect.Request(attempt)
+	provenance := Provenance{Exchanges: c.exchanges, Premature: len(c.readable) > 0}
 	written := make(chan error, 1)
 	if len(attempt.Call.Body) <= writeBuffer {
 		written <- c.write(request)
@@ -80,31 +85,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w from %s: %w", ErrNoAnswer, c.address, err)
 	}
-	requestSent := false
 	select {
 	case err := <-written:
-		requestSent = err == nil
+		provenance.RequestWritten = err == nil
 	default:
 	}
 	classification := dialect.Classify(attempt, response)
 	// On a connection that was used before, a rejection without an ID may be an earlier one
 	// that the endpoint has written once more.
-	classification.Mismatched = classification.Mismatched || classification.Unidentified && !c.fresh
+	classification.Mismatched = classification.Mismatched || classification.Unidentified && c.exchanges > 0
 	if attempt.Received != nil {
 		attempt.Received(classification)
 	}
 	if classification.Mismatched {
-		return nil, fmt.Errorf("%w from %s: the received answer belongs to another request", ErrNoAnswer, c.address)
+		return nil, fmt.Errorf("%w from %s: the received answer, status %d of request %.*q, belongs to another request (%+v)",
+			ErrNoAnswer, c.address, response.StatusCode, maxLoggedID, classification.AnswerID, provenance)
 	}
 	length := response.ContentLength
 	if response.Body == http.NoBody {
 		length = 0 // the answer to a HEAD request declares the length of another body
 	}
 	answer := &Answer{
-		Status: response.StatusCode, Header: response.Header, Classification: classification, body: response.Body, length: length, conn: c,
+		Status: response.StatusCode, Header: response.Header, Classification: classification, Provenance: provenance, body: response.Body, length: length, conn: c,
 		Framed: length >= 0 || len(response.TransferEncoding) > 0,
 	}
-	answer.reuse = requestSent && answer.Framed && !response.Close
+	answer.reuse = provenance.RequestWritten && answer.Framed && !response.Close
 	c.keepFor = keepFor(response.Header)
 	return answer, nil
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -16,7 +16,9 @@
 var (
 	rejections = expvar.NewMap("refusals")
 	outcomes   = expvar.NewMap("outcomes")
-	firstByte  = metrics.NewHistogram("first_byte")
+	// endpointRejections counts rejections by endpoints by what they rest on.
+	endpointRejections = expvar.NewMap("endpoint_rejections")
+	firstByte          = metrics.NewHistogram("first_byte")
 	// olderWeights is how long weights had been superseded when a call started on them.
 	olderWeights = metrics.NewHistogram("older_weights_superseded")
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -267,7 +267,7 @@
 		rejected = quarantined
 	}
 	s.gateway.reject(s.writer, s.admitted.call, rejected, "route", s.admitted.route.Name, "team", s.admitted.teamName(), "waitedMs", decision.Waited.Milliseconds(),
-		"candidates", decision.Candidates, "sends", s.rejectedSends)
+		"candidates", decision.Candidates, "sends", s.rejectedSends, "endpoints", s.tried)
 }
 
 // fail ends a call that may have run.
@@ -423,9 +423,23 @@
 		s.gateway.log.Warn("Reading an endpoint's rejection failed; the call counts as rejected.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status, "err", err)
 	}
 	s.rejectedSends++
+	s.countRejection(answer)
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Info("Endpoint rejected the call.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status,
-		"misdirected", answer.Classification.Misdirected, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
+		"misdirected", answer.Classification.Misdirected, "answerRequest", answer.Classification.AnswerID,
+		"exchanges", answer.Provenance.Exchanges, "premature", answer.Provenance.Premature, "requestWritten", answer.Provenance.RequestWritten, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered)
 	return stepRetry
 }
+
+// countRejection counts an endpoint's rejection by what it rests on.
+func (s *session) countRejection(answer *forward.Answer) {
+	basis := "named"
+	switch {
+	case answer.Provenance.Premature:
+		basis = "premature"
+	case answer.Classification.AnswerID != s.admitted.call.ID:
+		basis = "unnamed"
+	}
+	endpointRejections.Add(basis, 1)
+}
