REFUSED: a rejection that names no request proves nothing about a call

What callers saw: a call that an endpoint ran was answered 503, a promise that it had not run. Cause: a 421 or a rejection without a request ID counted for the call if it was the first answer on its connection, also when it had arrived before the request was written. Evidence: an endpoint that writes such a rejection to each new connection, and one that writes it after the request; the new gateway test failed on the first call with both (503, 1 run). Fix: a rejection must bear the call's ID, on any connection. If bytes or the end of the connection come before the request, it is not written, so the call has truly not been sent and may go elsewhere. stray_answers counts both. The dialect's test of the former rule (Unidentified, left to the connection) is replaced by the stricter one: without an ID it is another request's.

--- a/forward/call.go
+++ b/forward/call.go
@@ -67,10 +67,8 @@
 type Classification struct {
 	// AnswerID is the request ID that the answer bears, empty if it bears none.
 	AnswerID core.RequestID
-	// Mismatched is set if the answer belongs to another request.
+	// Mismatched is set if the answer belongs to another request, or names none.
 	Mismatched bool
-	// Unidentified is set if the answer is a rejection that does not name its request.
-	Unidentified bool
 	// NotRun is set if the endpoint did not run the request and will not run it.
 	NotRun bool
 	// Misdirected is set if another endpoint answered at the address.
@@ -93,8 +91,6 @@
 type Provenance struct {
 	// Exchanges is the number of requests that the connection carried before this one.
 	Exchanges int
-	// Premature is set if bytes had arrived before the request was written.
-	Premature bool
 	// RequestWritten is set if the complete request had been written when the head of the
 	// answer had arrived.
 	RequestWritten bool
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,13 +1,18 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 // Answer is the head of an endpoint's answer. Its body must be read to the end or
@@ -32,6 +37,12 @@
 	reuse bool
 }
 
+var (
+	errUnexpectedBytes = errors.New("unexpected bytes")
+	// strayAnswers counts what arrived on connections and answered none of their requests.
+	strayAnswers = expvar.NewMap("stray_answers")
+)
+
 // maxLoggedID bounds the request ID of an answer in an error, in bytes.
 const maxLoggedID = 64
 
@@ -70,8 +81,15 @@
 // while it waits for the answer, since an endpoint may answer before it has read the
 // body.
 func (c *conn) exchange(dialect Dialect, attempt Attempt) (*Answer, error) {
+	// Nothing that arrives before the request answers it.
+	select {
+	case err := <-c.readable:
+		strayAnswers.Add("premature", 1)
+		return nil, fmt.Errorf("%w: %s wrote or closed first: %w", ErrNotSent, c.address, cmp.Or(err, errUnexpectedBytes))
+	default:
+	}
 	request := dialect.Request(attempt)
-	provenance := Provenance{Exchanges: c.exchanges, Premature: len(c.readable) > 0}
+	provenance := Provenance{Exchanges: c.exchanges}
 	written := make(chan error, 1)
 	if len(attempt.Call.Body) <= writeBuffer {
 		written <- c.write(request)
@@ -91,13 +109,11 @@
 	default:
 	}
 	classification := dialect.Classify(attempt, response)
-	// On a connection that was used before, a rejection without an ID may be an earlier one
-	// that the endpoint has written once more.
-	classification.Mismatched = classification.Mismatched || classification.Unidentified && c.exchanges > 0
 	if attempt.Received != nil {
 		attempt.Received(classification)
 	}
 	if classification.Mismatched {
+		strayAnswers.Add(strayKind(classification.AnswerID), 1)
 		return nil, fmt.Errorf("%w from %s: the received answer, status %d of request %.*q, belongs to another request (%+v)",
 			ErrNoAnswer, c.address, response.StatusCode, maxLoggedID, classification.AnswerID, provenance)
 	}
@@ -114,6 +130,13 @@
 	return answer, nil
 }
 
+func strayKind(id core.RequestID) string {
+	if id == "" {
+		return "unnamed"
+	}
+	return "other_request"
+}
+
 func (c *conn) write(request *http.Request) error {
 	if err := request.Write(c.writer); err != nil {
 		return err
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -16,7 +16,7 @@
 var (
 	rejections = expvar.NewMap("refusals")
 	outcomes   = expvar.NewMap("outcomes")
-	// endpointRejections counts rejections by endpoints by what they rest on.
+	// endpointRejections counts rejections by endpoints by status.
 	endpointRejections = expvar.NewMap("endpoint_rejections")
 	firstByte          = metrics.NewHistogram("first_byte")
 	// olderWeights is how long weights had been superseded when a call started on them.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -423,23 +424,11 @@
 		s.gateway.log.Warn("Reading an endpoint's rejection failed; the call counts as rejected.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status, "err", err)
 	}
 	s.rejectedSends++
-	s.countRejection(answer)
+	endpointRejections.Add(strconv.Itoa(answer.Status), 1)
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Info("Endpoint rejected the call.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status,
 		"misdirected", answer.Classification.Misdirected, "answerRequest", answer.Classification.AnswerID,
-		"exchanges", answer.Provenance.Exchanges, "premature", answer.Provenance.Premature, "requestWritten", answer.Provenance.RequestWritten, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
+		"exchanges", answer.Provenance.Exchanges, "requestWritten", answer.Provenance.RequestWritten, "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered)
 	return stepRetry
 }
-
-// countRejection counts an endpoint's rejection by what it rests on.
-func (s *session) countRejection(answer *forward.Answer) {
-	basis := "named"
-	switch {
-	case answer.Provenance.Premature:
-		basis = "premature"
-	case answer.Classification.AnswerID != s.admitted.call.ID:
-		basis = "unnamed"
-	}
-	endpointRejections.Add(basis, 1)
-}
