REFUSED: a call doesn't go again over a connection on which it was rejected

What callers saw: a call that an endpoint ran was answered 503, a promise that it had not run. Cause: the ID of an answer was taken to name one exchange of a connection. A call that comes a second time on the same connection (the process has registered under another ID meanwhile, or the caller reuses an ID) can get its earlier rejection, written once more. The endpoints that a call was sent to are left out by ID only. Fix: a connection remembers the IDs that were rejected on it and carries none of them again, nor calls without an ID; with more than 64 it is not kept. Then a rejection that bears the call's ID can be no other one.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 const (
@@ -13,6 +16,8 @@
 	// writeBuffer is written before the answer is awaited.
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
+	// maxRejected bounds the rejected requests of a connection that is kept.
+	maxRejected = 64
 )
 
 // connState is the use state of a connection.
@@ -35,6 +40,8 @@
 	writer  *bufio.Writer
 	// exchanges is the number of requests before the present one.
 	exchanges int
+	// rejected are the IDs of the requests that the endpoint has rejected on the connection.
+	rejected []core.RequestID
 	// keepFor is how long the connection is kept idle. It and idleSince are guarded by
 	// the pool.
 	keepFor   time.Duration
@@ -86,6 +93,12 @@
 	}
 }
 
+// suits reports whether the ID of a request tells its answer from those to earlier requests
+// on the connection, which the endpoint may write once more.
+func (c *conn) suits(id core.RequestID) bool {
+	return id != "" && !slices.Contains(c.rejected, id)
+}
+
 // claim takes an idle connection for a request. It returns false if the connection is
 // closed or has been idle for too long.
 func (c *conn) claim(now time.Time) bool {
@@ -101,8 +114,8 @@
 
 // release returns a connection to the pool after the last byte of an answer was read.
 func (c *conn) release() {
-	if c.reader.Buffered() > 0 {
-		c.close() // unexpected bytes after the answer
+	if c.reader.Buffered() > 0 || len(c.rejected) > maxRejected {
+		c.close() // unexpected bytes after the answer, or more IDs than are remembered
 		return
 	}
 	c.mu.Lock()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -51,7 +51,7 @@
 // connection is closed, which cancels the endpoint's work. Errors wrap ErrNotSent or
 // ErrNoAnswer.
 func (p *Pool) Do(ctx context.Context, dialect Dialect, attempt Attempt, mayRepeat bool) (*Answer, error) {
-	c, err := p.get(ctx, attempt.Endpoint.Address, mayRepeat)
+	c, err := p.get(ctx, attempt.Endpoint.Address, attempt.Call.ID, mayRepeat)
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +117,9 @@
 		return nil, fmt.Errorf("%w from %s: the received answer, status %d of request %.*q, belongs to another request (%+v)",
 			ErrNoAnswer, c.address, response.StatusCode, maxLoggedID, classification.AnswerID, provenance)
 	}
+	if classification.NotRun {
+		c.rejected = append(c.rejected, attempt.Call.ID)
+	}
 	length := response.ContentLength
 	if response.Body == http.NoBody {
 		length = 0 // the answer to a HEAD request declares the length of another body
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -6,11 +6,14 @@
 	"expvar"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/zinniaseam/zinniaseam/core"
 )
 
 // Time-outs and limits of connections.
@@ -71,8 +74,8 @@
 }
 
 // get returns an idle connection that may be reused for the call, or a new one.
-func (p *Pool) get(ctx context.Context, address string, mayRepeat bool) (*conn, error) {
-	if c := p.takeIdle(address, mayRepeat); c != nil {
+func (p *Pool) get(ctx context.Context, address string, id core.RequestID, mayRepeat bool) (*conn, error) {
+	if c := p.takeIdle(address, id, mayRepeat); c != nil {
 		return c, nil
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -85,17 +88,20 @@
 }
 
 // takeIdle returns the most recently used idle connection that is still usable, or nil.
-func (p *Pool) takeIdle(address string, mayRepeat bool) *conn {
+func (p *Pool) takeIdle(address string, id core.RequestID, mayRepeat bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
 		if !mayRepeat && now.Sub(c.idleSince) > freshIdle {
 			break
 		}
-		list = list[:len(list)-1]
+		if !c.suits(id) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[address] = list
 		if c.claim(now) {
 			return c
--- a/gateway/refused_test.go
+++ b/gateway/refused_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -87,3 +90,90 @@
 		})
 	}
 }
+
+// A process registers under another ID while it goes on. It rejects a call under the ID that it
+// no longer has, and writes that rejection once more when the call comes again and runs.
+func TestARejectionOfTheSameCallThatIsRepeatedSaysNothingAboutItsNextAttempt(t *testing.T) {
+	g := NewWithT(t)
+	s := newLiveStore()
+	s.put("op/config", []byte(`{"version":1,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"non_idempotent","timeout-ms":2000,"goal-ms":100,
+		"service":"s","max-attempts":2}],"services":[{"name":"s"}],"tenants":[{"name":"team","api-keys":["key"]}]}`))
+	register := func(name string, b *backend) {
+		s.put("servers/"+name, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","capacity":4,"state":"ready"}`, b.address))
+	}
+	var ids sync.Map
+	known := func(id string) bool {
+		_, loaded := ids.LoadOrStore(id, true)
+		return loaded
+	}
+	var starts atomic.Int32
+	name := func() string { return fmt.Sprint("b", starts.Load()) }
+	b := &backend{ran: map[string]int{}}
+	b.listener = rawListener(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		rejected := map[string]bool{}
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			id := request.Header.Get("X-Request-Id")
+			status, header := "421 Misdirected Request", "X-Not-Executed: 1"
+			switch {
+			case rejected[id]:
+				b.record(id)
+			case !known(id):
+				s.remove("servers/" + name())
+				starts.Add(1)
+				register(name(), b)
+				rejected[id] = true
+			default:
+				b.record(id)
+				status, header = "200 OK", "X-Response-Seal: seal"
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s\r\nContent-Length: 0\r\n\r\n", status, id, header)
+		}
+	})
+	b.address = b.listener.Addr().String()
+	register(name(), b)
+	register("other", newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond) // the gateway hears of the new ID meanwhile
+		refuse(w)
+	}))
+	address := startOn(t, s)
+	seen := false
+	for i := range 10 {
+		id := fmt.Sprint("call", i)
+		response, _, err := ask(g, address, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		if b.runs(id) > 0 {
+			seen = true
+			g.Expect(response.StatusCode).NotTo(Equal(http.StatusServiceUnavailable), "%s has run and was answered as not run", id)
+		}
+		time.Sleep(300 * time.Millisecond) // the connection is not used for the next call
+	}
+	g.Expect(seen).To(BeTrue(), "no call has run")
+}
+
+// Callers may reuse an ID, and the first attempt with it may have been rejected on the same
+// connection.
+func TestARejectionThatIsRepeatedSaysNothingAboutALaterCallWithTheSameID(t *testing.T) {
+	g := NewWithT(t)
+	b := rawEndpoint(t, func(b *backend, number int, id string, conn net.Conn) {
+		if number > 0 {
+			b.record(id)
+		}
+		writeRefusal(conn, "X-Request-Id: "+id+"\r\n")
+	})
+	address, _ := start(t, "non_idempotent", b)
+	deadline := time.Now().Add(500 * time.Millisecond)
+	for time.Now().Before(deadline) {
+		response, _, err := ask(g, address, "same")
+		g.Expect(err).NotTo(HaveOccurred())
+		if b.runs("same") > 0 {
+			g.Expect(response.StatusCode).NotTo(Equal(http.StatusServiceUnavailable), "a call that has run was answered as not run")
+			return
+		}
+	}
+}
