REFUSED: a success, or a header that says no, is no rejection

What callers saw: a call was sent to a second endpoint after the first had answered it with success, and was refused as not run. Cause: the mere presence of the header that marks rejections counted, with any value and beside any status. Evidence: the new gateway test with a 200 and the header, and with 503 and the values 0 and false; the call was sent twice in all three before.

--- a/gateway/refused_test.go
+++ b/gateway/refused_test.go
@@ -156,6 +156,34 @@
 	g.Expect(seen).To(BeTrue(), "no call has run")
 }
 
+// A proxy or a library in front of an endpoint may add the header to answers of any kind.
+func TestASuccessWithTheHeaderOfRejectionsIsNoRejection(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		value  string
+	}{
+		"a success":                    {http.StatusOK, "1"},
+		"an answer that denies it":     {http.StatusServiceUnavailable, "0"},
+		"an answer that says it's not": {http.StatusServiceUnavailable, "false"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var runs atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				w.Header().Set("X-Not-Executed", c.value)
+				w.WriteHeader(c.status)
+				echo(w, r)
+			}
+			address, _ := start(t, "non_idempotent", newBackend(t, answer), newBackend(t, answer))
+			response, _, err := ask(g, address, "1")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(runs.Load()).To(BeEquivalentTo(1), "the call was sent again")
+			g.Expect(response.StatusCode).NotTo(Equal(http.StatusServiceUnavailable))
+		})
+	}
+}
+
 // Callers may reuse an ID, and the first attempt with it may have been rejected on the same
 // connection.
 func TestARejectionThatIsRepeatedSaysNothingAboutALaterCallWithTheSameID(t *testing.T) {
