ORDER: a crash after a probe of the engine no longer makes its streams look complete

Cause: whether an engine has ended, which alone tells the end of a stream without a length from a crash, was answered by a probe of up to 500 ms before the stream ended. Fix: a probe counts only for connections that had ended when it began. While one is in progress, those that end wait for one more, which they share. The same result attributed crashes to prompt parts, so these are judged by it too. Each end of a stream without a length now costs up to one connection to its engine.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -23,9 +23,6 @@
 	// An engine that runs accepts, and the system of one that has ended refuses, within a
 	// round trip.
 	probeTimeout = 250 * time.Millisecond
-	// lossTTL is how long the outcome of a probe counts for further connections to the same
-	// run of an endpoint that are found to be lost.
-	lossTTL = 500 * time.Millisecond
 	// provingTime is how long an engine must go on after the first event of a call for the
 	// call not to be the cause of its end.
 	provingTime = 250 * time.Millisecond
@@ -72,12 +69,15 @@
 	part    core.PromptPart
 }
 
-// loss is a run of an endpoint to which connections were lost.
+// loss is connections to one run of an endpoint that ended before the probe began which tells
+// whether the run has ended. A probe says nothing about a connection that ends after it.
 type loss struct {
 	at boottime.Instant
 	// probed is closed when ended is known.
 	probed chan struct{}
 	ended  bool
+	// next are the connections that have ended since the probe began, nil if there are none.
+	next *loss
 	// calls are the shared parts of the calls that may be the cause.
 	calls [][]core.PromptPart
 }
@@ -172,19 +172,27 @@
 	return found.ended
 }
 
-// lossOf returns the loss of a run of an endpoint, and probes the endpoint unless the last
-// probe still counts. The caller must hold q.mu.
+// lossOf returns the loss to which a connection belongs that has just ended. A probe in
+// progress may have been answered before; the next one follows it. The caller must hold q.mu.
 func (q *quarantineGuard) lossOf(now boottime.Instant, crash quarantine.Crash, s *session) *loss {
 	found := q.losses[crash]
-	if found == nil || now.Sub(found.at) > lossTTL && found.isProbed() && !found.ended {
-		found = &loss{at: now, probed: make(chan struct{})}
+	switch {
+	case found == nil, found.isProbed() && !(found.ended && crash.Boot != 0):
+		found = newLoss(now)
 		q.removeOldLosses(now)
 		q.losses[crash] = found
 		go q.probe(s.admitted.service, s.endpoint, crash, found)
+	case !found.isProbed():
+		if found.next == nil {
+			found.next = newLoss(now)
+		}
+		found = found.next
 	}
 	return found
 }
 
+func newLoss(now boottime.Instant) *loss { return &loss{at: now, probed: make(chan struct{})} }
+
 func (l *loss) isProbed() bool {
 	select {
 	case <-l.probed:
@@ -207,21 +215,47 @@
 	}
 }
 
-// probe finds out whether an endpoint has ended and records the crash.
+// probe finds out whether an endpoint has ended and records the crash. It repeats that for
+// the connections that have ended meanwhile.
 func (q *quarantineGuard) probe(service core.ServiceID, endpoint *fleet.Endpoint, crash quarantine.Crash, l *loss) {
+	for l != nil {
+		err := dial(endpoint.Address)
+		q.mu.Lock()
+		next := l.next
+		q.judge(service, crash, l, err)
+		if l.ended {
+			engineEnds.Add(1)
+		}
+		if l.ended && next != nil {
+			q.judge(service, crash, next, err)
+			next = nil
+		}
+		if next != nil {
+			next.at = q.now()
+			q.losses[crash] = next
+		}
+		q.mu.Unlock()
+		l = next
+	}
+}
+
+// dial tries to connect to an endpoint.
+func dial(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", endpoint.Address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
 		conn.Close()
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	return err
+}
+
+// judge records the outcome of a probe for a loss. The caller must hold q.mu.
+func (q *quarantineGuard) judge(service core.ServiceID, crash quarantine.Crash, l *loss, err error) {
 	l.ended = errors.Is(err, syscall.ECONNREFUSED)
 	q.log.Info("Connections to an engine were lost.", "endpoint", crash.Endpoint, "boot", crash.Boot, "ended", l.ended, "possibleCauses", len(l.calls), "parts", l.calls, "probe", err)
 	if l.ended {
-		engineEnds.Add(1)
 		q.crashed(q.now(), service, crash, l.calls)
 	}
 	close(l.probed)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -191,3 +191,33 @@
 	}
 	g.Expect(len(crashing.ran)).To(BeNumerically("<=", 1))
 }
+
+// crashAfter returns a handler that ends its backend's process: it answers, its listener and
+// its connection are closed and not reset. Requests with the header X-Whole are answered whole,
+// and the backend goes on.
+func crashAfter(b **backend, whole, crash string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Whole") != "" {
+			answerAndEnd(whole, closed)(w, r)
+			return
+		}
+		(*b).listener.Close()
+		answerAndEnd(crash, closed)(w, r)
+	}
+}
+
+var whole = map[string]string{"X-Whole": "1"}
+
+// Another stream of the engine has just ended as it should.
+func TestAStreamOfAnEngineThatEndedJustAfterAnotherStreamIsNotComplete(t *testing.T) {
+	g := NewWithT(t)
+	var b *backend
+	b = newBackend(t, crashAfter(&b, unframedHead+threeEvents, unframedHead+firstEvent))
+	address, _ := startRoute(t, "streaming", true, b)
+	_, body, err := askWith(g, address, "whole", whole)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal(threeEvents))
+	_, body, err = askWith(g, address, "cut", nil)
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	g.Expect(body).To(Equal(firstEvent))
+}
