MIXED: an answer without a length of an endpoint that has ended is not complete

Cause: for streams without a length the gateway asked whether the engine had ended, for other answers it took the end of the connection for the end of the body. Fix: the same question, by a probe that begins after the end of the body. Where the endpoint refuses, the answer counts as truncated: another endpoint if the call may be repeated, 502 otherwise. A process that is killed and accepts again before the probe arrives, within a round trip, is not told apart.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -26,6 +27,9 @@
 // forwardBuffered reads the complete answer before it passes it on.
 func (s *session) forwardBuffered(answer *forward.Answer) (placement.Outcome, step) {
 	body, err := answer.ReadAll(maxAnswerBytes)
+	if err == nil && !answer.Framed && s.gateway.quarantine.engineEnded(s) {
+		err = fmt.Errorf("%w: the endpoint has ended after %d bytes", forward.ErrTruncated, len(body))
+	}
 	if err != nil {
 		s.lost = s.ctx.Err() == nil
 		s.gateway.log.Warn("Answer truncated; the attempt failed.", "request", s.admitted.call.ID, "status", answer.Status, "err", err)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -221,3 +221,21 @@
 	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	g.Expect(body).To(Equal(firstEvent))
 }
+
+func TestAnAnswerWithoutALengthOfAnEndpointThatHasEndedIsNotComplete(t *testing.T) {
+	for _, kind := range []string{"non_idempotent", "idempotent"} {
+		t.Run(kind, func(t *testing.T) {
+			g := NewWithT(t)
+			var b *backend
+			b = newBackend(t, crashAfter(&b, unframedHead+"the whole body", unframedHead+"the wh"))
+			address, _ := start(t, kind, b)
+			response, body, err := askWith(g, address, "whole", whole)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal("the whole body"))
+			response, _, err = askWith(g, address, "cut", nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		})
+	}
+}
