ORDER, MIXED: an error of the next endpoint is no part of a broken stream

Cause: another status than 200 was not passed on, but a 200 was split at empty lines, and pieces without a number counted as in sequence; an empty page ended the stream as complete. After a break the first event that isn't a comment needs a number, and the media type must be that of the stream.

--- a/forward/call.go
+++ b/forward/call.go
@@ -116,4 +116,6 @@
 	ErrNoAnswer = errors.New("forward: request sent, no answer received")
 	// ErrTruncated means that an answer ended early or exceeded its size limit.
 	ErrTruncated = errors.New("forward: answer truncated")
+	// ErrNoEvent means that a stream has something else where an event is due.
+	ErrNoEvent = errors.New("forward: not an event")
 )
--- a/forward/events.go
+++ b/forward/events.go
@@ -9,8 +9,15 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 64 << 10
+	// maxQuotedLine bounds what an error quotes, in bytes.
+	maxQuotedLine = 64
+)
+
+// eventFields are the fields that readers of event streams know.
+var eventFields = map[string]bool{"id": true, "event": true, "data": true, "retry": true}
 
 // Event is one complete event of a stream.
 type Event struct {
@@ -19,6 +26,8 @@
 	// ID is the event's number. Numbered is set if it has one.
 	ID       int64
 	Numbered bool
+	// Comment is set if the event consists of comments only.
+	Comment bool
 }
 
 // EventReader splits a stream into complete events.
@@ -34,7 +43,8 @@
 
 // Next returns the next complete event. Its bytes are valid until the next call. The
 // error is io.EOF if the stream ended between two events, and wraps ErrTruncated if the
-// stream ended within an event, the connection failed, or an event is too large.
+// stream ended within an event, the connection failed, or an event is too large. It wraps
+// ErrNoEvent if something else stands where an event is due.
 func (r *EventReader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
 	for {
@@ -49,7 +59,7 @@
 		case err != nil:
 			return Event{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(r.buffer) > len(line):
-			return r.event(), nil
+			return r.event()
 		}
 		if len(r.buffer) > maxEventBytes {
 			return Event{}, fmt.Errorf("%w: event larger than %d bytes", ErrTruncated, maxEventBytes)
@@ -57,11 +67,27 @@
 	}
 }
 
-func (r *EventReader) event() Event {
-	event := Event{Bytes: r.buffer}
+func (r *EventReader) event() (Event, error) {
+	event := Event{Bytes: r.buffer, Comment: true}
+	known := false
 	for line := range bytes.Lines(r.buffer) {
-		value, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		name, value, separated := bytes.Cut(line, []byte(":"))
+		if len(name) == 0 && separated {
+			known = true // a comment
+			continue
+		}
+		event.Comment = false
+		switch {
+		case eventFields[string(name)]:
+			known = true
+		case !separated || !isFieldName(name):
+			return Event{}, fmt.Errorf("%w: line %.*q", ErrNoEvent, maxQuotedLine, line)
+		}
+		if string(name) != "id" {
 			continue
 		}
 		number, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
@@ -69,5 +95,16 @@
 			event.ID, event.Numbered = number, true
 		}
 	}
-	return event
+	if !known {
+		return Event{}, fmt.Errorf("%w: %.*q", ErrNoEvent, maxQuotedLine, r.buffer)
+	}
+	return event, nil
+}
+
+// isFieldName reports whether a line may begin with name and a colon. Readers ignore fields
+// that they don't know.
+func isFieldName(name []byte) bool {
+	return !bytes.ContainsFunc(name, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_')
+	})
 }
--- a/forward/pool_test.go
+++ b/forward/pool_test.go
@@ -224,3 +224,29 @@
 	_, err = reader.Next()
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+func TestWhatIsNoEventEndsAStream(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", "overloaded\n\n", "error: overloaded\n\n",
+		"id: 2\noverloaded\ndata: x\n\n", "id: 2\nnot a field: x\ndata: x\n\n", "Content-Type: text/plain\n\n",
+	} {
+		g := NewWithT(t)
+		reader := forward.NewEventReader(strings.NewReader("id: 1\ndata: x\n\n" + text + "id: 3\ndata: x\n\n"))
+		_, err := reader.Next()
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = reader.Next()
+		g.Expect(err).To(MatchError(forward.ErrNoEvent), text)
+	}
+}
+
+func TestFieldsThatReadersIgnoreAreNoErrorInAnEvent(t *testing.T) {
+	for _, text := range []string{
+		"x-weight-versions: 2\nid: 1\ndata: x\n\n", ": comment\n\n", "data\n\n", "id:1\nevent:token\ndata:{\"a\": 1}\n\n", "retry: 10\n\n", "data: a b\ndata: http://c\n\n",
+	} {
+		g := NewWithT(t)
+		event, err := forward.NewEventReader(strings.NewReader(text)).Next()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(event.Bytes)).To(Equal(text))
+		g.Expect(event.Comment).To(Equal(strings.HasPrefix(text, ": ")))
+	}
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/metrics"
@@ -75,8 +76,15 @@
 
 // forwardEvents passes complete events on as they arrive.
 func (s *session) forwardEvents(answer *forward.Answer) (placement.Outcome, step) {
+	if kind := mediaType(answer.Header); s.mediaType != "" && kind != "" && kind != s.mediaType {
+		s.gateway.log.Warn("The answer does not continue the stream; the attempt failed.", "request", s.admitted.call.ID, "endpoint", s.endpoint.ID,
+			"contentType", kind, "streamContentType", s.mediaType)
+		return placement.OutcomeFailed, stepRetry
+	}
 	flusher := http.NewResponseController(s.writer)
 	reader := forward.NewEventReader(answer)
+	// Only a number shows where the events of a further attempt belong.
+	located := !s.headSent
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) && s.endsComplete(answer) {
@@ -87,6 +95,11 @@
 		if err != nil {
 			return s.streamFailed(err)
 		}
+		if !located && !event.Numbered && !event.Comment {
+			s.gateway.log.Warn("Event without a number after a break; the attempt failed.", "request", s.admitted.call.ID, "last", s.lastEvent)
+			return s.streamFailed(forward.ErrNoEvent)
+		}
+		located = located || event.Numbered
 		if !s.inSequence(event) {
 			s.gateway.log.Warn("Event out of sequence; the attempt failed.", "request", s.admitted.call.ID, "event", event.ID, "last", s.lastEvent)
 			return s.streamFailed(forward.ErrTruncated)
@@ -138,11 +151,17 @@
 	if s.headSent {
 		return
 	}
-	s.headSent = true
+	s.headSent, s.mediaType = true, mediaType(answer.Header)
 	s.gateway.dialect.PassHeaders(s.writer.Header(), answer.Header)
 	s.writer.WriteHeader(answer.Status)
 }
 
+// mediaType returns the media type of a body without its parameters.
+func mediaType(header http.Header) string {
+	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // inSequence reports whether an event is the next one.
 func (s *session) inSequence(event forward.Event) bool {
 	if !event.Numbered {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -134,6 +134,8 @@
 	sends, rejectedSends int
 	// headSent is set when the head of an answer has been passed on.
 	headSent bool
+	// mediaType is the media type of the stream whose head has been passed on.
+	mediaType string
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
 	events    int64
