--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
+	"github.com/zinniaseam/zinniaseam/lastcalls"
 	"github.com/zinniaseam/zinniaseam/metastore"
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peers"
@@ -92,6 +93,12 @@
 
 	stopping atomic.Bool
 	open     atomic.Int64
+	// durations tell which calls are still taken while the process stops.
+	durations lastcalls.Durations
+	// ending ends the calls that still run at endsAt, shortly before a stopping process does.
+	ending context.Context
+	end    context.CancelCauseFunc
+	endsAt atomic.Int64
 }
 
 // New returns a gateway. It fails if the relay's listen address is invalid or its
@@ -107,6 +114,7 @@
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
+	g.ending, g.end = context.WithCancelCause(context.Background())
 	// One watch of the entire store costs half of two.
 	g.follower = &metastore.Follower{Store: store, Wait: config.WatchWait, BatchDelay: watchBatchDelay, MaxBatchDelay: maxWatchBatchDelay, Sink: tracker, Now: now}
 	g.confirmer = &confirmer{follower: g.follower, now: now, log: g.log}
@@ -167,7 +175,7 @@
 	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callerListener{callers})) })
 	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
 	process.AddStop("leave", g.drain)
-	process.AddStop("callers", callerServer.Shutdown)
+	process.AddStop("callers", func(ctx context.Context) error { return g.closeCallers(ctx, callerServer) })
 	process.AddStop("readiness", func(context.Context) error { return readyServer.Close() })
 	g.log.Info("Serving.", "callers", g.config.CallerListen, "readiness", g.config.ReadyListen)
 	err = process.Run(ctx, g.config.StopTimeout)
@@ -216,13 +224,41 @@
 	return !view.Deployment.KeysRequired || g.now().Sub(view.ConfirmedAt) <= g.config.MaxKeyAge
 }
 
+// closeCallers waits for the calls that still run. Connections without one may be cut.
+func (g *Gateway) closeCallers(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	if open := g.open.Load(); err != nil && open > 0 {
+		return fmt.Errorf("%d calls cut: %w", open, err)
+	}
+	return server.Close()
+}
+
 // drainTime is how long connections may still arrive after the readiness check starts
 // to fail: two checks a second apart, plus their round trips.
 const drainTime = 2200 * time.Millisecond
 
+// lastAnswer is how long before the end of a planned stop the calls that still run are ended,
+// so that their callers get an answer. net/http looks for ended calls every 500 ms and a little
+// more.
+const lastAnswer = 600 * time.Millisecond
+
+// takes reports whether a call is taken although the process may be about to stop.
+func (g *Gateway) takes(a *admitted) bool {
+	if !g.stopping.Load() {
+		return true
+	}
+	now, endsAt := g.now(), boottime.Instant(g.endsAt.Load())
+	return endsAt == 0 || g.durations.Fits(a.route.Name, a.deadline.Sub(now), endsAt.Sub(now))
+}
+
 // drain makes the readiness check fail and keeps serving until callers use other
 // entries. From then on each answer closes its connection.
 func (g *Gateway) drain(ctx context.Context) error {
+	if deadline, limited := ctx.Deadline(); limited {
+		left := time.Until(deadline) - lastAnswer
+		g.endsAt.Store(int64(g.now().Add(left)))
+		time.AfterFunc(left, func() { g.end(errStopped) })
+	}
 	g.stopping.Store(true)
 	g.log.Info("Draining: the readiness check fails from now on.", "open", g.open.Load())
 	return kernel.Sleep(ctx, drainTime)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -68,11 +68,17 @@
 		g.reject(w, call, rejected, "ageMs", admittedAt.Sub(view.ConfirmedAt).Milliseconds(), "declaration", view.DeclarationRevision())
 		return
 	}
+	if !g.takes(a) {
+		w.Header().Set("Connection", "close")
+		g.reject(w, call, stopped, "route", a.route.Name, "team", a.teamName())
+		return
+	}
 	g.budgets.earn(a.service)
 	ctx, cancel := context.WithTimeoutCause(r.Context(), a.deadline.Sub(g.now())-answerMargin, errDeadline)
 	defer cancel()
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
+	defer context.AfterFunc(g.ending, func() { abandon(errStopped) })()
 	s := &session{gateway: g, admitted: a, writer: w, ctx: ctx, abandon: abandon, lastEvent: call.LastEvent}
 	if part, admitted := g.quarantine.admit(s); !admitted {
 		g.reject(w, call, quarantined, "route", a.route.Name, "team", a.teamName(), "part", part)
@@ -93,6 +99,12 @@
 // quarantined since the call arrived.
 var errQuarantined = errors.New("part of the prompt quarantined")
 
+// errStopped is the cancellation cause of a call that still runs when the process ends.
+var errStopped = errors.New("process stopped")
+
+// stopped rejects a call that would outlast the process.
+var stopped = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonLeaving, retryAfter: minRetryAfter}
+
 // errDeadline is the cancellation cause of a call whose deadline has passed.
 var errDeadline = errors.New("call deadline exceeded")
 
@@ -243,6 +255,8 @@
 		reason = core.ReasonQuarantined
 	case s.sends > 0 || s.headSent:
 		reason = core.ReasonNoEndpoint
+	case errors.Is(context.Cause(s.ctx), errStopped):
+		reason = core.ReasonLeaving
 	case decision.Verdict != placement.Reject:
 		reason = core.ReasonDeadline
 	}
@@ -279,8 +293,12 @@
 		s.callerDisconnected()
 		return
 	}
-	if s.quarantined() {
+	switch {
+	case s.quarantined():
 		reason = core.ReasonQuarantined
+	case errors.Is(context.Cause(s.ctx), errStopped):
+		reason = core.ReasonLeaving
+		s.writer.Header().Set("Connection", "close")
 	}
 	if s.headSent {
 		s.gateway.log.Warn("Answer interrupted; aborting the connection to the caller.", "request", s.admitted.call.ID, "reason", reason, "events", s.events, "sends", s.sends)
@@ -348,6 +366,9 @@
 		outcome = placement.OutcomeCanceled
 	}
 	g.scheduler.ended(ticket, outcome)
+	if outcome == placement.OutcomeAnswered {
+		g.durations.Observe(s.admitted.route.Name, g.now().Sub(sent))
+	}
 	if outcome == placement.OutcomeAnswered && answer.Status < http.StatusMultipleChoices && !s.provedSound {
 		if s.begunAt == 0 {
 			s.begunAt = g.now()
