--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -340,7 +340,7 @@
 	// after its return the operator writes the manifest once more.
 	drillAfter   = 4 * time.Second
 	drillTime    = 500 * time.Millisecond
-	writtenAgain = 3 * time.Second
+	writtenAgain = 2 * time.Second
 )
 
 // restartInDrill plays a store that comes back from a copy, while a gateway is restarted.
@@ -397,7 +397,7 @@
 	slices.SortFunc(crashes, time.Time.Compare)
 	late := 0
 	for _, event := range events {
-		if !strings.Contains(event.part, poisonPart) || event.what != "arrived" {
+		if !strings.Contains(event.part, poisonPart) || event.what != "run" {
 			continue
 		}
 		isLate := len(crashes) >= maxCrashes && event.at.After(crashes[maxCrashes-1].Add(contact))
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -86,5 +86,7 @@
 		_, _ = io.Copy(to, from)
 		to.Close()
 	}()
-	_, _ = io.Copy(from, to)
+	if _, err := io.Copy(from, to); errors.Is(err, syscall.ECONNRESET) {
+		_ = from.(*net.TCPConn).SetLinger(0) // passes the reset on
+	}
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -270,6 +270,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.empty() {
+		header.Set("X-Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	version, admitted := r.admit()
 	if !admitted {
 		header.Set(wire["not-run"], "1")
@@ -285,10 +290,17 @@
 	r.answer(w, request, asked, version)
 }
 
-// admit waits for a slot. It returns false if the runner holds no layers or is full.
+// empty reports whether the runner lacks the layers that a request needs.
+func (r *runner) empty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.plain && r.version == 0
+}
+
+// admit waits for a slot. It returns false if the runner is loading or full.
 func (r *runner) admit() (version int64, admitted bool) {
 	r.mu.Lock()
-	if !r.plain && (r.version == 0 || r.busy) || r.queued >= queueLength {
+	if r.busy || r.queued >= queueLength {
 		r.mu.Unlock()
 		return 0, false
 	}
