--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -334,6 +334,9 @@
 }
 
 const (
+	// drillGateways and drillSides are seven machines, of which one is killed: 0.143, at most
+	// 0.16 may be.
+	drillGateways, drillSides = 2, 5
 	// copyAge is by how much the copy is older than the manifest that takes the key away.
 	copyAge = time.Second
 	// drillAfter is when the store is away, drillTime for how long, and writtenAgain how long
@@ -345,7 +348,7 @@
 
 // restartInDrill plays a store that comes back from a copy, while a gateway is restarted.
 func restartInDrill(d *deployment, trouble bool) (bool, error) {
-	if err := start(d, 2, 3, ""); err != nil {
+	if err := start(d, drillGateways, drillSides, ""); err != nil {
 		return false, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -618,6 +621,8 @@
 }
 
 const (
+	// lostRunners is the number of runners, of which one is lost: 0.167, at most 0.17 may be.
+	lostRunners = 6
 	// unframedEvery makes one of 20 answers come without a length: 0.05.
 	unframedEvery = 20
 	// maxShort is how many answers may look complete without being so.
@@ -628,7 +633,7 @@
 // a length.
 func lostRunner(d *deployment, trouble bool) (bool, error) {
 	d.behindProxy = true
-	if err := start(d, 1, 3, ""); err != nil {
+	if err := start(d, 1, lostRunners, ""); err != nil {
 		return false, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -429,7 +429,7 @@
 type origin struct {
 	address string
 	newest  atomic.Int64
-	// spoilEvery makes each answer spoiled whose number, from 0, is a multiple of it; 0 for none.
+	// spoilEvery makes one in so many answers spoiled, the first one of them; 0 for none.
 	spoilEvery atomic.Int64
 	answers    atomic.Int64
 	// manifests and spoiledManifests count the manifests that were sent.
@@ -451,7 +451,12 @@
 		return
 	}
 	every := o.spoilEvery.Load()
-	spoil := every > 0 && (o.answers.Add(1)-1)%every == 0
+	number := int64(0)
+	if every > 0 {
+		number = o.answers.Add(1)
+	}
+	// Without the answer number every + 1 the share stays at 1 in every from there on.
+	spoil := number == 1 || every > 0 && number > every+1 && (number-1)%every == 0
 	if spoil {
 		o.spoiled.Add(1)
 	}
