MIXED: the clients over net/http don't take an answer for complete whose upload was not received

A close with nothing unread is an io.EOF in any case. Evidence: a service of the test's own that takes over its connection, 1 MiB: reset, close with the upload unread, close with half of it read, end of the data and a later reset. Fix: package answers. Its transport wraps the connections of an http.Transport: the end of the data after the start of an answer becomes io.EOF only when the request has been written without an error and received. What remains: between the last part of the request that net/http passes on and its flush (up to 4 KB), a close of the service is still an end; a window of microseconds. Clients over TLS, if any, see the same errors of the connection below.

--- a/adapters/engine/client.go
+++ b/adapters/engine/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/zinniaseam/zinniaseam/answers"
 	"github.com/zinniaseam/zinniaseam/core"
 )
 
@@ -66,7 +67,7 @@
 
 // NewClient returns a client for the engine at base, such as http://127.0.0.1:8000.
 func NewClient(base string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
--- a/adapters/origin/client.go
+++ b/adapters/origin/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/adapters/retryafter"
+	"github.com/zinniaseam/zinniaseam/answers"
 	"github.com/zinniaseam/zinniaseam/core"
 )
 
@@ -65,7 +66,7 @@
 		config.OriginURL = config.StoreURL
 	}
 	if config.HTTP == nil {
-		config.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}}
+		config.HTTP = &http.Client{Transport: answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes})}
 	}
 	return &Client{
 		store:  strings.TrimSuffix(config.StoreURL, "/"),
--- a/adapters/platform/client.go
+++ b/adapters/platform/client.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/zinniaseam/zinniaseam/adapters/retryafter"
+	"github.com/zinniaseam/zinniaseam/answers"
 	"github.com/zinniaseam/zinniaseam/claims"
 )
 
@@ -101,13 +102,13 @@
 func New(baseURL string, options Options) *Client {
 	options.fillDefaults()
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAliveInterval}
-	transport := &http.Transport{
+	transport := answers.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxConnsPerHost:        options.Connections,
 		MaxIdleConnsPerHost:    options.Connections,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 	return &Client{
 		base:    strings.TrimSuffix(baseURL, "/"),
 		options: options,
--- /dev/null
+++ b/adapters/service/broken_test.go
@@ -0,0 +1,123 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/adapters/service"
+)
+
+// serve runs a service that answers each request with its connection and the unread body of the
+// request, and returns its URL.
+func serve(t *testing.T, answer func(conn *net.TCPConn, upload io.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					answer(conn.(*net.TCPConn), request.Body)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+func post(ctx context.Context, url string, size int) (*service.Answer, error) {
+	return service.NewClient(url).Do(ctx, &service.Request{Method: http.MethodPost, Path: "/", Body: make([]byte, size)})
+}
+
+const partialAnswer = "HTTP/1.1 200 OK\r\n\r\npart of a body"
+
+func write(conn io.Writer, text string) { _, _ = io.WriteString(conn, text) }
+
+// Neither goroutine of the transport may take a reset that the other one sees for the end of the
+// answer.
+func TestAnAnswerWithoutALengthIsNotCompleteIfItsUploadIsNotReceived(t *testing.T) {
+	for name, end := range map[string]func(conn *net.TCPConn, upload io.Reader){
+		"reset":         func(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) },
+		"close, unread": func(*net.TCPConn, io.Reader) {},
+		"close, half of it read": func(_ *net.TCPConn, upload io.Reader) {
+			_, _ = io.CopyN(io.Discard, upload, 512<<10)
+		},
+		"end of the data, later a reset": func(conn *net.TCPConn, _ io.Reader) {
+			_ = conn.CloseWrite()
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			url := serve(t, func(conn *net.TCPConn, upload io.Reader) {
+				write(conn, partialAnswer)
+				end(conn, upload)
+			})
+			for range 100 {
+				answer, err := post(context.Background(), url, 1<<20)
+				g.Expect(err).To(HaveOccurred(), "the answer came as %+v", answer)
+				g.Expect(err).NotTo(MatchError(service.ErrNotSent))
+			}
+		})
+	}
+}
+
+func TestAnAnswerWithoutALengthIsCompleteIfItsUploadIsReceived(t *testing.T) {
+	for name, answer := range map[string]func(conn *net.TCPConn, upload io.Reader){
+		"after the upload": func(conn *net.TCPConn, upload io.Reader) {
+			_, _ = io.Copy(io.Discard, upload)
+			write(conn, partialAnswer)
+		},
+		"before the upload": func(conn *net.TCPConn, upload io.Reader) {
+			write(conn, partialAnswer)
+			_, _ = io.Copy(io.Discard, upload)
+		},
+	} {
+		for _, size := range []int{0, 100, 5 << 10, 1 << 20} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
+				g := NewWithT(t)
+				url := serve(t, answer)
+				for range 40 {
+					answer, err := post(context.Background(), url, size)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(string(answer.Body)).To(Equal("part of a body"))
+				}
+			})
+		}
+	}
+}
+
+func TestACallEndsWithItsContextWhileAnUploadIsNotReceived(t *testing.T) {
+	g := NewWithT(t)
+	done := make(chan struct{})
+	defer close(done)
+	url := serve(t, func(conn *net.TCPConn, _ io.Reader) {
+		write(conn, partialAnswer)
+		_ = conn.CloseWrite()
+		<-done
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	_, err := post(ctx, url, 16<<20)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(errors.Is(err, service.ErrNotSent)).To(BeFalse())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+}
--- a/adapters/service/client.go
+++ b/adapters/service/client.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"github.com/zinniaseam/zinniaseam/answers"
 )
 
 // MaxAnswerBytes bounds the body of an answer.
@@ -49,7 +51,7 @@
 // Connections are not reused: net/http retries some requests by itself if a reused
 // connection was closed, and a call must be sent only once.
 func NewClient(base string) *Client {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := answers.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: rejectRedirect}}
 }
 
--- /dev/null
+++ b/answers/transport.go
@@ -0,0 +1,148 @@
+package answers
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Transport is an http.RoundTripper that fails where an http.Transport takes an answer without a
+// length for complete though its connection was reset before the request was received.
+type Transport struct{ base *http.Transport }
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport returns a transport that sends with base, and changes how base dials.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var sent exchange
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: sent.begin, WroteRequest: sent.wrote})
+	return t.base.RoundTrip(request.WithContext(ctx))
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// exchange is a request and its answer. The transport may move it to another connection.
+type exchange struct {
+	mu   sync.Mutex
+	conn *conn
+}
+
+func (e *exchange) begin(info httptrace.GotConnInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn, _ = info.Conn.(*conn)
+	if e.conn != nil {
+		e.conn.begin()
+	}
+}
+
+func (e *exchange) wrote(httptrace.WroteRequestInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		e.conn.wrote()
+	}
+}
+
+// conn is a connection on which net/http writes a request while it reads the answer. The kernel
+// reports a reset once: if it is reported to the writer, the reader sees the end of the data.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// writing is set while the request is written, answered once the peer has sent anything
+	// since the request began.
+	writing, answered bool
+	// writeErr is the first error of a write.
+	writeErr error
+}
+
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing, c.answered = true, false
+}
+
+func (c *conn) wrote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.writeErr == nil {
+			c.writeErr = err
+		}
+	}
+	return n, err
+}
+
+// Read implements net.Conn. After the start of an answer it returns io.EOF only if the peer has
+// received the request. The close of the connection ends the wait for that.
+func (c *conn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n > 0 {
+		c.received()
+	}
+	if err == io.EOF && c.hasAnswered() {
+		return n, c.end()
+	}
+	return n, err
+}
+
+func (c *conn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+}
+
+func (c *conn) hasAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
+// end returns io.EOF once the peer has received the request, or the reason for which it won't.
+func (c *conn) end() error {
+	for {
+		c.mu.Lock()
+		writing, err := c.writing, c.writeErr
+		c.mu.Unlock()
+		switch {
+		case err != nil:
+			return err
+		case !writing:
+			if err := AwaitReceipt(c.Conn); err != nil {
+				return err
+			}
+			return io.EOF
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- a/forward/upload.go
+++ b/forward/upload.go
@@ -1,20 +1,11 @@
 package forward
 
 import (
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
-	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/zinniaseam/zinniaseam/answers"
 )
 
-// ackPollInterval is the time between two checks whether sent data has been acknowledged.
-const ackPollInterval = 5 * time.Millisecond
-
-var errResetUnacknowledged = errors.New("connection reset before all of it was acknowledged")
-
 // upload is the writing of a request. It may go on while the answer is read, since an endpoint
 // may answer before it has read the body.
 type upload struct {
@@ -61,37 +52,5 @@
 	if u.err != nil || !u.hasBody {
 		return u.err
 	}
-	for {
-		unacknowledged, err := unacknowledged(u.conn.raw)
-		if err != nil || !unacknowledged {
-			return err
-		}
-		time.Sleep(ackPollInterval)
-	}
-}
-
-// unacknowledged reports whether the peer of a connection has yet to acknowledge sent data. The
-// error is errResetUnacknowledged if the connection has been reset: a reset after the end of
-// the peer's data is not reported to readers.
-func unacknowledged(connection net.Conn) (bool, error) {
-	tcp, ok := connection.(*net.TCPConn)
-	if !ok {
-		return false, nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	var info *unix.TCPInfo
-	var unsupported error
-	if err := raw.Control(func(fd uintptr) { info, unsupported = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
-		return false, fmt.Errorf("state of the connection: %w", err)
-	}
-	if unsupported != nil {
-		return false, nil // the kernel does not tell
-	}
-	if info.State == unix.BPF_TCP_CLOSE {
-		return false, errResetUnacknowledged
-	}
-	return info.Unacked > 0 || info.Notsent_bytes > 0, nil
+	return answers.AwaitReceipt(u.conn.raw)
 }
