MIXED: a status that no answer has is no answer

What callers saw (reported of other systems, shown here): an endpoint in trouble sent an answer with status 000, and callers got it as an answer. At the gateway: if the bytes of another answer stand after its empty line, those came as the answer. At the product's own entry: status 0 as it is. Cause: net/http takes any three characters that form a number of 0 or more for a status (also +20 and -00). forward took everything below 200 for an interim answer and went on to the next one; the clients over net/http took everything that the transport doesn't skip for a final answer. 101 is of the same kind: nobody asks for another protocol, and what follows it is in that protocol. Fix: a scanner of heads in package answers sees the bytes as they arrive, in forward and in the transport of the other clients, and fails at a status below 100 or 101. It follows interim answers, which net/http's transport reads on its own. The call may have run: 502, or another endpoint where it may be repeated; at the entry an unknown outcome. The reference of forward's tests of packets (and FuzzHeads) was net/http alone; it now rejects these statuses too, and two such answers are among its cases.

--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniaseam/zinniaseam/adapters/service"
+	"github.com/zinniaseam/zinniaseam/answers"
 )
 
 // serve runs a service that answers each request with its connection and the unread body of the
@@ -121,3 +122,39 @@
 	g.Expect(errors.Is(err, service.ErrNotSent)).To(BeFalse())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
 }
+
+// answerOf asks a service that writes text and closes the connection.
+func answerOf(t *testing.T, text string) (*service.Answer, error) {
+	t.Helper()
+	url := serve(t, func(conn *net.TCPConn, _ io.Reader) { write(conn, text) })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return service.NewClient(url).Do(ctx, &service.Request{Method: http.MethodGet, Path: "/"})
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+
+func TestAnAnswerWithAStatusThatNoAnswerHasIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"000":                       "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\nbody",
+		"000 without a length":      "HTTP/1.1 000 Error\r\n\r\nbody",
+		"000 before another answer": "HTTP/1.1 000 Error\r\n\r\n" + wholeAnswer,
+		"000 behind an interim one": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Error\r\n\r\n" + wholeAnswer,
+		"+20":                       "HTTP/1.1 +20 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"101":                       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + wholeAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			answer, err := answerOf(t, text)
+			g.Expect(err).To(MatchError(answers.ErrMalformedHead), "the answer came as %+v", answer)
+			g.Expect(err).NotTo(MatchError(service.ErrNotSent))
+		})
+	}
+}
+
+func TestInterimAnswersArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	answer, err := answerOf(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+wholeAnswer)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(answer.Body)).To(Equal("body"))
+}
--- /dev/null
+++ b/answers/head.go
@@ -0,0 +1,124 @@
+package answers
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformedHead means that the head of an answer is no valid HTTP/1.1.
+var ErrMalformedHead = errors.New("malformed head")
+
+// HeadScanner checks the head of an answer, and the informational answers before it, as their
+// bytes arrive. It rejects statuses that no answer has, which net/http accepts. It is no parser: it
+// accepts heads that net/http rejects. The zero value is ready for the first byte.
+type HeadScanner struct {
+	state scanState
+	// lines is the number of complete lines before the present one.
+	lines int
+	// status is the number that the first digits of the status form.
+	status, digits int
+}
+
+// scanState is what the next byte belongs to.
+type scanState uint8
+
+const (
+	inVersion scanState = iota
+	beforeStatus
+	inStatus
+	inLine
+	atLineStart
+	afterReturn
+	afterHead
+)
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+// Scan checks the next bytes of a connection. It ignores those after the head. The error wraps
+// ErrMalformedHead.
+func (s *HeadScanner) Scan(data []byte) error {
+	for _, b := range data {
+		if s.state == afterHead {
+			return nil
+		}
+		if problem := s.next(b); problem != "" {
+			return fmt.Errorf("%w, line %d: %s: %q", ErrMalformedHead, s.lines+1, problem, b)
+		}
+	}
+	return nil
+}
+
+// next checks one byte, and returns what is wrong with it.
+func (s *HeadScanner) next(b byte) (problem string) {
+	switch s.state {
+	case inVersion:
+		return s.nextOfVersion(b)
+	case beforeStatus, inStatus:
+		return s.nextOfStatus(b)
+	case inLine:
+		if b == '\n' {
+			s.state = atLineStart
+			s.lines++
+		}
+	case atLineStart:
+		s.firstOfLine(b)
+	case afterReturn:
+		if b != '\n' {
+			return "no line feed after a carriage return"
+		}
+		s.endHead()
+	}
+	return ""
+}
+
+func (s *HeadScanner) nextOfVersion(b byte) (problem string) {
+	switch b {
+	case ' ':
+		s.state = beforeStatus
+	case '\n':
+		return "no status"
+	}
+	return ""
+}
+
+func (s *HeadScanner) nextOfStatus(b byte) (problem string) {
+	if b == ' ' && s.state == beforeStatus {
+		return ""
+	}
+	s.state = inStatus
+	if b < '0' || b > '9' {
+		return "no digit of a status"
+	}
+	s.status = 10*s.status + int(b-'0')
+	if s.digits++; s.digits < statusDigits {
+		return ""
+	}
+	s.state = inLine
+	// The clients never ask for another protocol, so 101 answers no request either.
+	if s.status < http.StatusContinue || s.status == http.StatusSwitchingProtocols {
+		return fmt.Sprintf("status %03d", s.status)
+	}
+	return ""
+}
+
+func (s *HeadScanner) firstOfLine(b byte) {
+	switch b {
+	case '\n':
+		s.endHead()
+	case '\r':
+		s.state = afterReturn
+	default:
+		s.state = inLine
+	}
+}
+
+// endHead continues with the next head after that of an informational answer.
+func (s *HeadScanner) endHead() {
+	if s.status < http.StatusOK {
+		*s = HeadScanner{lines: s.lines + 1}
+		return
+	}
+	s.state = afterHead
+}
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// Transport is an http.RoundTripper that fails where an http.Transport takes an answer without a
-// length for complete though its connection was reset before the request was received.
+// Transport is an http.RoundTripper that fails where an http.Transport returns a broken answer:
+// one with a malformed head (ErrMalformedHead), or one without a length whose connection was
+// reset while the request was written. It sees nothing of answers over TLS.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -71,6 +72,8 @@
 	net.Conn
 
 	mu sync.Mutex
+	// head is nil until the first request. Over TLS it remains nil.
+	head *HeadScanner
 	// writing is set while the request is written, answered once the peer has sent anything
 	// since the request began.
 	writing, answered bool
@@ -81,7 +84,7 @@
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing, c.answered = true, false
+	c.head, c.writing, c.answered = new(HeadScanner), true, false
 }
 
 func (c *conn) wrote() {
@@ -107,25 +110,26 @@
 // received the request. The close of the connection ends the wait for that.
 func (c *conn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
-	if n > 0 {
-		c.received()
-	}
-	if err == io.EOF && c.hasAnswered() {
+	answered, malformed := c.received(into[:n])
+	switch {
+	case malformed != nil:
+		return 0, malformed
+	case err == io.EOF && answered:
 		return n, c.end()
+	default:
+		return n, err
 	}
-	return n, err
 }
 
-func (c *conn) received() {
+// received checks data that the peer has sent, and reports whether it has answered.
+func (c *conn) received(data []byte) (answered bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = true
-}
-
-func (c *conn) hasAnswered() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answered
+	if c.head == nil {
+		return false, nil
+	}
+	c.answered = c.answered || len(data) > 0
+	return c.answered, c.head.Scan(data)
 }
 
 // end returns io.EOF once the peer has received the request, or the reason for which it won't.
--- a/forward/head.go
+++ b/forward/head.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/zinniaseam/zinniaseam/answers"
 )
 
 const (
@@ -37,6 +39,14 @@
 func (r *headReader) readHead(request *http.Request) (*http.Response, error) {
 	r.source.left = maxHeadBytes - r.Buffered()
 	defer func() { r.source.left = math.MaxInt }()
+	r.source.head = answers.HeadScanner{}
+	arrived, err := r.Peek(r.Buffered())
+	if err == nil {
+		err = r.source.head.Scan(arrived)
+	}
+	if err != nil {
+		return nil, err
+	}
 	for range maxInformational {
 		response, err := http.ReadResponse(r.Reader, request)
 		if err != nil && r.source.left <= 0 {
@@ -61,12 +71,13 @@
 	return errors.New(text[:maxErrorBytes] + "...")
 }
 
-// limitedSource reads from a connection and fails after a number of bytes. It repeats the
-// error that ended the connection, since the kernel reports a reset once and then the end
-// of the stream.
+// limitedSource reads from a connection and fails after a number of bytes, or at the first
+// byte that can't belong to the head of an answer. It repeats the error that ended the
+// connection, since the kernel reports a reset once and then the end of the stream.
 type limitedSource struct {
 	connection io.Reader
 	left       int
+	head       answers.HeadScanner
 	err        error
 }
 
@@ -82,6 +93,9 @@
 	if s.left != math.MaxInt {
 		s.left -= n
 	}
+	if malformed := s.head.Scan(into[:n]); malformed != nil {
+		n, err = 0, malformed
+	}
 	s.err = err
 	return n, err
 }
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/zinniaseam/zinniaseam/answers"
 )
 
 // packets is a connection on which data arrives in packets of the given sizes, the last of
@@ -43,6 +45,9 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, answers.ErrMalformedHead
+		}
 		if response.StatusCode >= http.StatusOK {
 			body, err := io.ReadAll(response.Body)
 			return response, body, err
@@ -91,6 +96,8 @@
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
 	headOf(4<<10) + "body",
 	headOf(maxHeadBytes) + "body",
+	"HTTP/1.1 000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 Error\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000),
 }
 
