--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -158,3 +158,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(answer.Body)).To(Equal("body"))
 }
+
+func TestAnAnswerWithAMalformedNameOfAFieldIsNoAnswer(t *testing.T) {
+	const ok, length = "HTTP/1.1 200 OK\r\nX-Foo: y\r\n", "Content-Length: 4\r\n\r\nbody"
+	for name, text := range map[string]string{
+		"length, blank behind":   ok + "Content-Length : 30\r\n\r\nbody",
+		"length, blank before":   ok + " Content-Length: 30\r\n\r\nbody",
+		"encoding, blank behind": ok + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"encoding, tab before":   ok + "\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"blank behind":           ok + "X-Bar : z\r\n" + length,
+		"blank within":           ok + "X Bar: z\r\n" + length,
+		"blank before":           ok + " X-Bar: z\r\n" + length,
+		"control byte":           ok + "X-\x01Bar: z\r\n" + length,
+		"no name":                ok + ": z\r\n" + length,
+		"in an interim answer":   "HTTP/1.1 103 Early Hints\r\nX Bar: z\r\n\r\n" + wholeAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			answer, err := answerOf(t, text)
+			g.Expect(err).To(HaveOccurred(), "the answer came as %+v", answer)
+			g.Expect(err).NotTo(MatchError(service.ErrNotSent))
+		})
+	}
+}
--- a/answers/head.go
+++ b/answers/head.go
@@ -4,14 +4,18 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformedHead means that the head of an answer is no valid HTTP/1.1.
+// ErrMalformedHead means that the head of an answer is no valid HTTP/1.1. What follows it may be
+// framed in another way than it seems.
 var ErrMalformedHead = errors.New("malformed head")
 
 // HeadScanner checks the head of an answer, and the informational answers before it, as their
-// bytes arrive. It rejects statuses that no answer has, which net/http accepts. It is no parser: it
-// accepts heads that net/http rejects. The zero value is ready for the first byte.
+// bytes arrive. It rejects what net/http accepts: statuses that no answer has, blanks in the
+// names of fields, and folded lines, which look like names that begin with a blank. It is no
+// parser: it accepts heads that net/http rejects. The zero value is ready for the first byte.
 type HeadScanner struct {
 	state scanState
 	// lines is the number of complete lines before the present one.
@@ -30,6 +34,7 @@
 	inLine
 	atLineStart
 	afterReturn
+	inName
 	afterHead
 )
 
@@ -63,12 +68,14 @@
 			s.lines++
 		}
 	case atLineStart:
-		s.firstOfLine(b)
+		return s.firstOfLine(b)
 	case afterReturn:
 		if b != '\n' {
 			return "no line feed after a carriage return"
 		}
 		s.endHead()
+	case inName:
+		return s.nextOfName(b)
 	}
 	return ""
 }
@@ -103,15 +110,31 @@
 	return ""
 }
 
-func (s *HeadScanner) firstOfLine(b byte) {
+func (s *HeadScanner) firstOfLine(b byte) (problem string) {
 	switch b {
 	case '\n':
 		s.endHead()
 	case '\r':
 		s.state = afterReturn
+	case ' ', '\t':
+		return "the line begins with a blank"
+	case ':':
+		return "the field has no name"
 	default:
+		s.state = inName
+		return s.nextOfName(b)
+	}
+	return ""
+}
+
+func (s *HeadScanner) nextOfName(b byte) (problem string) {
+	switch {
+	case b == ':':
 		s.state = inLine
+	case !httpguts.IsTokenRune(rune(b)):
+		return "not a character of a field name"
 	}
+	return ""
 }
 
 // endHead continues with the next head after that of an informational answer.
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -31,6 +31,23 @@
 	"HTTP/1.1 200 OK\r\nA: b : c\r\n\r\nAny thing: \x00 after":  true,
 	"HTTP/1.1 100 Continue\r\nA: b\r\n\r\nHTTP/1.1 200\r\n\r\n": true,
 
+	"HTTP/1.1 200\r\n!#$%&'*+-.^_`|~09azAZ: x\r\n\r\n": true,
+	"HTTP/1.1 200\r\nA:\r\nB: \t c d\r\n\r\n":          true,
+
+	"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                        false,
+	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n":                       false,
+	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                        false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n B: c\r\n\r\n":                false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n\tB: c\r\n\r\n":               false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\n":                    false,
+	"HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n":                     false,
+	"HTTP/1.1 200 OK\r\nA\x7f: b\r\n\r\n":                     false,
+	"HTTP/1.1 200 OK\r\nA\xf6: b\r\n\r\n":                     false,
+	"HTTP/1.1 200 OK\r\nA\r: b\r\n\r\n":                       false,
+	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                          false,
+	"HTTP/1.1 200 OK\r\nA\r\n\r\n":                            false,
+	"HTTP/1.1 103 Hints\r\nA : b\r\n\r\nHTTP/1.1 200\r\n\r\n": false,
+
 	"HTTP/1.1 000 Error\r\n\r\n":                              false,
 	"HTTP/1.1 099 Error\r\n\r\n":                              false,
 	"HTTP/1.1 101 Other\r\n\r\n":                              false,
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -37,10 +38,31 @@
 	return n, nil
 }
 
+var fieldStart = regexp.MustCompile("^[!#$%&'*+\\-.^_`|~0-9A-Za-z]+:")
+
+// namesFields reports whether each complete line of a head, but for the first and the empty one,
+// begins with the name of a field and a colon.
+func namesFields(head []byte) bool {
+	for i, line := range bytes.SplitAfter(head, []byte("\n")) {
+		switch line = bytes.TrimSuffix(line, []byte("\n")); {
+		case i == 0:
+		case len(line) == 0, string(line) == "\r":
+			return true
+		case !fieldStart.Match(line):
+			return false
+		}
+	}
+	return true
+}
+
 // readWhole reads an answer without the limit of its head, and readPackets with it.
 func readWhole(data []byte) (*http.Response, []byte, error) {
-	reader := bufio.NewReader(bytes.NewReader(data))
+	source := bytes.NewReader(data)
+	reader := bufio.NewReader(source)
 	for range maxInformational {
+		if !namesFields(data[len(data)-source.Len()-reader.Buffered():]) {
+			return nil, nil, answers.ErrMalformedHead
+		}
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			return nil, nil, err
@@ -98,6 +120,9 @@
 	headOf(maxHeadBytes) + "body",
 	"HTTP/1.1 000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 Error\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nContent-Length : 30\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 30\r\n\r\nbody",
+	"HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000),
 }
 
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,44 @@
 		})
 	}
 }
+
+// malformedFields are heads with a field whose name is none, and the bodies behind them. net/http
+// takes those with a blank in the name, and joins a line that begins with a blank to the one before.
+var malformedFields = map[string]string{
+	"a blank before the colon":           "X-Foo : y\r\n" + headEnd,
+	"a blank within":                     "X Foo: y\r\n" + headEnd,
+	"a blank at the start":               " X-Foo: y\r\n" + headEnd,
+	"a blank at the start, later":        "X-Foo: y\r\n X-Bar: z\r\n" + headEnd,
+	"a tab at the start, later":          "X-Foo: y\r\n\tX-Bar: z\r\n" + headEnd,
+	"nothing but blanks":                 "X-Foo: y\r\n   \r\n" + headEnd,
+	"a length with a blank behind":       "Id: r\r\nContent-Length : 30\r\n\r\npart of a body",
+	"a length with a blank before":       "Id: r\r\n Content-Length: 30\r\n\r\npart of a body",
+	"a length with a blank within":       "Id: r\r\nContent- Length: 30\r\n\r\npart of a body",
+	"an encoding with a blank behind":    "Id: r\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"an encoding with a blank before":    "Id: r\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"a tab before the colon":             "X-Foo\t: y\r\n" + headEnd,
+	"0x00":                               "X-\x00Foo: y\r\n" + headEnd,
+	"0x01":                               "X-\x01Foo: y\r\n" + headEnd,
+	"0x0b":                               "X-\x0bFoo: y\r\n" + headEnd,
+	"0x0b at the start":                  "\x0bX-Foo: y\r\n" + headEnd,
+	"a carriage return":                  "X-\rFoo: y\r\n" + headEnd,
+	"a carriage return before the colon": "X-Foo\r: y\r\n" + headEnd,
+	"0x7f":                               "X-\x7fFoo: y\r\n" + headEnd,
+	"0x80":                               "X-\x80Foo: y\r\n" + headEnd,
+	"no name":                            ": y\r\n" + headEnd,
+	"no colon":                           "X-Foo\r\n" + headEnd,
+}
+
+func TestAnAnswerWithAMalformedNameOfAFieldIsNoAnswer(t *testing.T) {
+	for name, fields := range malformedFields {
+		for place, text := range map[string]string{
+			"head":         "HTTP/1.1 200 OK\r\n" + fields,
+			"interim head": "HTTP/1.1 103 Early Hints\r\n" + fields[:strings.Index(fields, "\r\n\r\n")] + "\r\n\r\n" + wholeAnswer,
+		} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				status, body, err := answerOf(t, text)
+				NewWithT(t).Expect(err).To(MatchError(forward.ErrNoAnswer), "status %d, body %q", status, body)
+			})
+		}
+	}
+}
