A chunk is not stored if the engine's answer was interrupted

What callers saw: nothing yet; found by the tests of the other readers of answers. The client of engines (adapters/engine, the product's own entry) took a chunk for stored that the engine had not received: a 200 without a length to an upload of 1 MiB that was then reset. Behind it stands the digest of each chunk, before a load. Cause: the status was all that Put asked for; the error at the end of the answer, which the transport reports since, was dropped with the rest of the text.

--- a/adapters/engine/client.go
+++ b/adapters/engine/client.go
@@ -129,10 +129,11 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusPreconditionFailed:
-		drain(response)
+		_, _ = drain(response)
 		return ErrWrongVersion
 	default:
-		return fmt.Errorf("engine: status %d: %s", response.StatusCode, drain(response))
+		text, _ := drain(response)
+		return fmt.Errorf("engine: status %d: %s", response.StatusCode, text)
 	}
 }
 
@@ -176,10 +177,13 @@
 	if err != nil {
 		return err
 	}
-	text := drain(response)
+	text, err := drain(response)
 	if response.StatusCode/100 != 2 {
 		return fmt.Errorf("engine: stage chunk %d of %s: status %d: %s", index, version, response.StatusCode, text)
 	}
+	if err != nil {
+		return fmt.Errorf("engine: stage chunk %d of %s: %w", index, version, err)
+	}
 	return nil
 }
 
@@ -260,9 +264,13 @@
 	return nil
 }
 
-// drain returns the beginning of an error text and closes the body.
-func drain(response *http.Response) string {
+// drain returns the beginning of an error text and closes the body. The error means that the
+// answer was interrupted before that.
+func drain(response *http.Response) (string, error) {
 	defer response.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-	return string(bytes.TrimSpace(text))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil {
+		err = fmt.Errorf("answer truncated: %w", err)
+	}
+	return string(bytes.TrimSpace(text)), err
 }
