Tests: an answer whose head is cut is no answer

Reported of other systems: an endpoint stopped in the middle of the head of its answer and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here: net/http fails where the data ends before the empty line, in forward as at the other clients. Evidence: an answer with a length, without one and with chunks, cut after each byte of its head: in forward as the first answer, behind two interim answers, on a kept connection, in packets of one byte, with a close and with a reset; at the gateway on routes of each kind; in adapters/service also behind an interim answer. No code of the product changed.

--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -1,7 +1,6 @@
 package service_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -15,31 +14,17 @@
 
 	"github.com/zinniaseam/zinniaseam/adapters/service"
 	"github.com/zinniaseam/zinniaseam/answers"
+	"github.com/zinniaseam/zinniaseam/standin/broken"
 )
 
 // serve runs a service that answers each request with its connection and the unread body of the
 // request, and returns its URL.
 func serve(t *testing.T, answer func(conn *net.TCPConn, upload io.Reader)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := broken.Serve(func(conn *net.TCPConn, request *http.Request) { answer(conn, request.Body) })
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					answer(conn.(*net.TCPConn), request.Body)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address
 }
 
 func post(ctx context.Context, url string, size int) (*service.Answer, error) {
@@ -181,3 +166,22 @@
 		})
 	}
 }
+
+func TestAnAnswerWhoseHeadIsCutIsNoAnswer(t *testing.T) {
+	for name, whole := range map[string]string{
+		"with a length":    wholeAnswer,
+		"without a length": partialAnswer,
+		"with chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, text := range broken.CutHeads(whole) {
+				for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+					answer, err := answerOf(t, before+text)
+					g.Expect(err).To(HaveOccurred(), "%q came as %+v", before+text, answer)
+					g.Expect(err).NotTo(MatchError(service.ErrNotSent))
+				}
+			}
+		})
+	}
+}
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniaseam/zinniaseam/answers"
 	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/standin/broken"
 )
 
 // answerOf asks an endpoint that writes text and closes the connection.
@@ -114,3 +115,58 @@
 		}
 	}
 }
+
+// packetPause lets the gateway read a packet before the next one is sent.
+const packetPause = 200 * time.Microsecond
+
+func TestAnAnswerWhoseHeadIsCutIsNoAnswer(t *testing.T) {
+	const interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	inOnePacket := func(conn net.Conn, text string) { write(conn, text) }
+	endings := map[string]func(conn net.Conn, text string){
+		"first answer":          inOnePacket,
+		"behind interim ones":   func(conn net.Conn, text string) { write(conn, interim+text) },
+		"in packets of a byte":  func(conn net.Conn, text string) { writeBytes(conn, text) },
+		"reset":                 func(conn net.Conn, text string) { write(conn, text); time.Sleep(packetPause); resetConn(conn) },
+		"reset at once":         func(conn net.Conn, text string) { write(conn, text); resetConn(conn) },
+		"on a kept connection":  inOnePacket,
+		"kept, in packets of 1": func(conn net.Conn, text string) { writeBytes(conn, text) },
+	}
+	for name, whole := range map[string]string{
+		"with a length":    wholeAnswer,
+		"without a length": "HTTP/1.1 200 OK\r\nId: r\r\n\r\nbody",
+		"with chunks":      "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		for how, end := range endings {
+			kept := strings.Contains(how, "kept")
+			t.Run(name+", "+how, func(t *testing.T) {
+				g := NewWithT(t)
+				for _, text := range broken.CutHeads(whole) {
+					e := serve(t, func(number int, _ string, conn net.Conn) bool {
+						if kept && number == 0 {
+							writeAnswer(conn, "first", "body")
+							return true
+						}
+						end(conn, text)
+						return false
+					})
+					pool := forward.NewPool()
+					if kept {
+						_, err := do(context.Background(), pool, e, "first", true)
+						g.Expect(err).NotTo(HaveOccurred())
+					}
+					body, err := do(context.Background(), pool, e, "r", true)
+					g.Expect(err).To(MatchError(forward.ErrNoAnswer), "%q came as %q", text, body)
+					g.Expect(e.dials.Load()).To(BeEquivalentTo(1))
+				}
+			})
+		}
+	}
+}
+
+// writeBytes writes each byte in a packet of its own.
+func writeBytes(conn net.Conn, text string) {
+	for i := range len(text) {
+		write(conn, text[i:i+1])
+		time.Sleep(packetPause)
+	}
+}
--- a/forward/upload_test.go
+++ b/forward/upload_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -15,6 +14,7 @@
 
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/standin/broken"
 )
 
 // uploading is plain with the body of the call.
@@ -38,25 +38,10 @@
 // unread body.
 func serveUploads(t *testing.T, answer func(conn net.Conn, upload io.Reader)) *endpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := broken.Serve(func(conn *net.TCPConn, request *http.Request) { answer(conn, request.Body) })
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					answer(conn, request.Body)
-				}
-			}()
-		}
-	}()
-	return &endpoint{address: listener.Addr().String()}
+	t.Cleanup(server.Close)
+	return &endpoint{address: server.Address}
 }
 
 // upload sends a call with a body of the given size and returns its answer.
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -89,3 +90,40 @@
 	}
 	expectNoneAnswers(t, texts)
 }
+
+// Endpoints of the route answer with the number of bytes of an answer that a header names.
+func TestAnAnswerWhoseHeadIsCutDoesNotReachCallers(t *testing.T) {
+	for kind, whole := range map[string]string{
+		"non_idempotent": "HTTP/1.1 200 OK\r\n" + sealed + "Content-Length: 15\r\n\r\n" + firstEvent,
+		"idempotent":     "HTTP/1.1 200 OK\r\n" + sealed + "\r\n" + firstEvent,
+		"streaming":      "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/event-stream\r\n\r\n" + firstEvent,
+	} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			var backends []*backend
+			for range 8 {
+				backends = append(backends, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+					size, err := strconv.Atoi(r.Header.Get("X-Size"))
+					if err != nil {
+						panic(err)
+					}
+					write(whole[:size])(w, r)
+				}))
+			}
+			address, _ := start(t, kind, backends...)
+			ran := 0
+			for size := range strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n") {
+				id := fmt.Sprint("call-", size)
+				response, body, err := askWith(g, address, id, map[string]string{"X-Size": strconv.Itoa(size)})
+				runs := 0
+				for _, b := range backends {
+					runs += b.runs(id)
+				}
+				expectBroken(g, runs, response, body, err)
+				ran += min(runs, 1)
+			}
+			g.Expect(ran).To(BeNumerically(">", strings.Index(whole, "\r\n\r\n")/2), "most calls reached an endpoint")
+		})
+	}
+}
