--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -185,3 +185,11 @@
 		})
 	}
 }
+
+func TestNoCallTakesABrokenAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for problem, text := range broken.Heads(wholeAnswer) {
+		answer, err := answerOf(t, text)
+		g.Expect(err).To(HaveOccurred(), "%s came as %+v", problem, answer)
+	}
+}
--- a/answers/head.go
+++ b/answers/head.go
@@ -14,14 +14,20 @@
 
 // HeadScanner checks the head of an answer, and the informational answers before it, as their
 // bytes arrive. It rejects what net/http accepts: statuses that no answer has, blanks in the
-// names of fields, and folded lines, which look like names that begin with a blank. It is no
-// parser: it accepts heads that net/http rejects. The zero value is ready for the first byte.
+// names of fields, folded lines, which look like names that begin with a blank, and encodings in
+// versions without them. It is no parser: it accepts heads that net/http rejects. The zero value
+// is ready for the first byte.
 type HeadScanner struct {
 	state scanState
 	// lines is the number of complete lines before the present one.
 	lines int
 	// status is the number that the first digits of the status form.
 	status, digits int
+	// matched is how many bytes of the expected version, or of the name of the field that declares
+	// an encoding, stand at the start of the present version or name, -1 if it is another one.
+	matched int
+	// current is set if the version is the one that has encodings.
+	current bool
 }
 
 // scanState is what the next byte belongs to.
@@ -38,8 +44,13 @@
 	afterHead
 )
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// version and encodingField are in small letters.
+	version       = "http/1.1"
+	encodingField = "transfer-encoding"
+)
 
 // Scan checks the next bytes of a connection. It ignores those after the head. The error wraps
 // ErrMalformedHead.
@@ -83,9 +94,11 @@
 func (s *HeadScanner) nextOfVersion(b byte) (problem string) {
 	switch b {
 	case ' ':
-		s.state = beforeStatus
+		s.state, s.current = beforeStatus, s.matched == len(version)
 	case '\n':
 		return "no status"
+	default:
+		s.match(version, b)
 	}
 	return ""
 }
@@ -121,7 +134,7 @@
 	case ':':
 		return "the field has no name"
 	default:
-		s.state = inName
+		s.state, s.matched = inName, 0
 		return s.nextOfName(b)
 	}
 	return ""
@@ -129,14 +142,30 @@
 
 func (s *HeadScanner) nextOfName(b byte) (problem string) {
 	switch {
+	case b == ':' && s.matched == len(encodingField) && !s.current:
+		return "an encoding in another version than HTTP/1.1" // net/http ignores it
 	case b == ':':
 		s.state = inLine
 	case !httpguts.IsTokenRune(rune(b)):
 		return "not a character of a field name"
+	default:
+		s.match(encodingField, b)
 	}
 	return ""
 }
 
+// match compares the next byte of a version or name with the text that is expected.
+func (s *HeadScanner) match(want string, b byte) {
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	if s.matched >= 0 && s.matched < len(want) && want[s.matched] == b {
+		s.matched++
+	} else {
+		s.matched = -1
+	}
+}
+
 // endHead continues with the next head after that of an informational answer.
 func (s *HeadScanner) endHead() {
 	if s.status < http.StatusOK {
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -34,6 +34,12 @@
 	"HTTP/1.1 200\r\n!#$%&'*+-.^_`|~09azAZ: x\r\n\r\n": true,
 	"HTTP/1.1 200\r\nA:\r\nB: \t c d\r\n\r\n":          true,
 
+	"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n":                                     true,
+	"HTTP/1.0 200\r\nTransfer-Encodings: x\r\nTransfer: y\r\nX-Transfer-Encoding: z\r\n\r\n": true,
+	"HTTP/1.0 200\r\nA: b\r\ntransfer-encoding: chunked\r\n\r\n":                             false,
+	"HTTP/1.1 100\r\n\r\nHTTP/1.0 200\r\nTransfer-Encoding: chunked\r\n\r\n":                 false,
+	"HTTP/1.11 200\r\nTransfer-Encoding: chunked\r\n\r\n":                                    false,
+
 	"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                        false,
 	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n":                       false,
 	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                        false,
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -55,12 +56,24 @@
 	return true
 }
 
+var encodingLine = regexp.MustCompile("(?i)^transfer-encoding:")
+
+// encodesOlder reports whether a head in another version than HTTP/1.1 declares an encoding.
+func encodesOlder(head []byte) bool {
+	lines := bytes.Split(head, []byte("\n"))
+	if bytes.HasPrefix(lines[0], []byte("HTTP/1.1 ")) {
+		return false
+	}
+	end := slices.IndexFunc(lines, func(line []byte) bool { return len(line) == 0 || string(line) == "\r" })
+	return slices.ContainsFunc(lines[:max(end, 0)], encodingLine.Match)
+}
+
 // readWhole reads an answer without the limit of its head, and readPackets with it.
 func readWhole(data []byte) (*http.Response, []byte, error) {
 	source := bytes.NewReader(data)
 	reader := bufio.NewReader(source)
 	for range maxInformational {
-		if !namesFields(data[len(data)-source.Len()-reader.Buffered():]) {
+		if head := data[len(data)-source.Len()-reader.Buffered():]; !namesFields(head) || encodesOlder(head) {
 			return nil, nil, answers.ErrMalformedHead
 		}
 		response, err := http.ReadResponse(reader, nil)
@@ -120,6 +133,8 @@
 	headOf(maxHeadBytes) + "body",
 	"HTTP/1.1 000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 Error\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nContent-Length : 30\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 30\r\n\r\nbody",
 	"HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -170,3 +170,36 @@
 		time.Sleep(packetPause)
 	}
 }
+
+// net/http ignores the encoding of an answer in HTTP/1.0, whose body then has the sizes of the
+// chunks in it.
+func TestAnAnswerInAnOlderVersionWithAnEncodingIsNoAnswer(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"1.0":                 "HTTP/1.0 200 OK\r\nId: r\r\n" + chunked,
+		"1.0, in small":       "HTTP/1.0 200 OK\r\nId: r\r\n" + strings.ToLower(chunked),
+		"1.0, behind 1.1":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nId: r\r\n" + chunked,
+		"0.9":                 "HTTP/0.9 200 OK\r\nId: r\r\n" + chunked,
+		"1.0, also a length":  "HTTP/1.0 200 OK\r\nId: r\r\nContent-Length: 4\r\n" + chunked,
+		"1.0, not in chunks":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n" + headEnd,
+		"1.0, empty encoding": "HTTP/1.0 200 OK\r\nTransfer-Encoding:\r\n" + headEnd,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, body, err := answerOf(t, text)
+			NewWithT(t).Expect(err).To(MatchError(forward.ErrNoAnswer), "the answer came as %q", body)
+		})
+	}
+}
+
+func TestAnAnswerInAnOlderVersionWithoutAnEncodingIsAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		"HTTP/1.0 200 OK\r\n" + headEnd,
+		"HTTP/1.0 200 OK\r\nId: r\r\n\r\nbody",
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: x\r\nTransfer: Transfer-Encoding:\r\n" + headEnd,
+	} {
+		_, body, err := answerOf(t, text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("body"))
+	}
+}
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -76,6 +76,7 @@
 		"other, blank behind":     ok + sealed + "X-Foo : y\r\n" + length,
 		"other, blank within":     ok + sealed + "X Foo: y\r\n" + length,
 		"other, blank before":     ok + sealed + " X-Foo: y\r\n" + length,
+		"encoding in HTTP/1.0":    "HTTP/1.0 200 OK\r\n" + sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
 		"in an interim answer":    "HTTP/1.1 103 Early Hints\r\nX Foo: y\r\n\r\n" + otherAnswer,
 		"no name":                 ok + sealed + ": y\r\n" + length,
 		"header without a colon":  ok + sealed + "X-Foo\r\n" + length,
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -77,6 +77,7 @@
 		"length with a control byte":   fmt.Sprintf("%sContent-\x01Length: %d\r\n\r\n%s", start, len(body), half),
 		"encoding with a blank behind": start + "Transfer-Encoding : chunked\r\n\r\n" + chunked,
 		"encoding with a tab before":   start + "X: y\r\n\tTransfer-Encoding: chunked\r\n\r\n" + chunked,
+		"encoding in HTTP/1.0":         strings.Replace(start, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunked,
 		"another name with a blank":    status + "\r\nX y: z\r\n" + fields + "\r\n\r\n" + body,
 	}
 }
