answers: the close of a connection ends the wait for its request

Found reading the change again: the wait for the receipt of a request ends with an error of its write; net/http may close a connection on which it has begun a request and not written it. Then the goroutine that reads went on asking every 5 ms for good, one for each such connection. Evidence: a connection that is closed in that state; the reader had not returned after 1 s. Fix: a close counts as the end of writing.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -77,7 +77,7 @@
 	// writing is set while the request is written, answered once the peer has sent anything
 	// since the request began.
 	writing, answered bool
-	// writeErr is the first error of a write.
+	// writeErr is the reason for which nothing more can be written.
 	writeErr error
 }
 
@@ -97,15 +97,25 @@
 func (c *conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.writeErr == nil {
-			c.writeErr = err
-		}
+		c.failed(err)
 	}
 	return n, err
 }
 
+func (c *conn) failed(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.failed(net.ErrClosed)
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn. After the start of an answer it returns io.EOF only if the peer has
 // received the request. The close of the connection ends the wait for that.
 func (c *conn) Read(into []byte) (int, error) {
