A rejection without a length is not held up by its upload

Cause: since the end of an answer without a length waits until its upload was received. Evidence: an endpoint that rejects a call, ends its data and leaves the upload unread; Discard failed after the whole second that the test allows. Fix: Discard reads the body without the wait. Connections are kept as before. Result: the test passes (under 0.5 s wanted), forward's other tests too.

--- a/forward/body.go
+++ b/forward/body.go
@@ -67,13 +67,15 @@
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
 	a.stop = context.AfterFunc(ctx, a.conn.close)
-	n, err := io.Copy(io.Discard, io.LimitReader(a, limit+1))
+	// Whether a body that is not framed is complete doesn't matter, so a.Read's wait is left out.
+	n, err := io.Copy(io.Discard, io.LimitReader(a.body, limit+1))
 	if err != nil {
 		return fmt.Errorf("%w: after %d bytes: %w", ErrTruncated, n, err)
 	}
 	if n > limit {
 		return fmt.Errorf("%w: body larger than %d bytes", ErrTruncated, limit)
 	}
+	a.finish(a.reuse)
 	return nil
 }
 
--- a/forward/upload_test.go
+++ b/forward/upload_test.go
@@ -240,3 +240,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body)).To(Equal("body"))
 }
+
+// The endpoint rejects the call, ends its data and leaves the upload unread.
+func TestARejectionWithoutALengthIsNotHeldUpByItsUpload(t *testing.T) {
+	g := NewWithT(t)
+	done := make(chan struct{})
+	defer close(done)
+	e := serveUploads(t, func(conn net.Conn, _ io.Reader) {
+		write(conn, "HTTP/1.1 503 Service Unavailable\r\nId: r\r\n\r\nbusy")
+		halfClose(conn)
+		<-done
+	})
+	answer, err := upload(context.Background(), e, largeUpload)
+	g.Expect(err).NotTo(HaveOccurred())
+	started := time.Now()
+	g.Expect(answer.Discard(1<<10, time.Second)).To(Succeed())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
+}
