answers, tests: the field's terms in comments, errors and names of cases

Cause: read as a newcomer would: "blank", "encoding" and "status" where the field says whitespace, transfer coding and status code; sentences that explain less than they say. No behaviour, no bound and no check changed.

--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -35,8 +35,7 @@
 
 func write(conn io.Writer, text string) { _, _ = io.WriteString(conn, text) }
 
-// Neither goroutine of the transport may take a reset that the other one sees for the end of the
-// answer.
+// The kernel reports a reset only once, to the goroutine that writes or to the one that reads.
 func TestAnAnswerWithoutALengthIsNotCompleteIfItsUploadIsNotReceived(t *testing.T) {
 	for name, end := range map[string]func(conn *net.TCPConn, upload io.Reader){
 		"reset":         func(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) },
@@ -147,16 +146,16 @@
 func TestAnAnswerWithAMalformedNameOfAFieldIsNoAnswer(t *testing.T) {
 	const ok, length = "HTTP/1.1 200 OK\r\nX-Foo: y\r\n", "Content-Length: 4\r\n\r\nbody"
 	for name, text := range map[string]string{
-		"length, blank behind":   ok + "Content-Length : 30\r\n\r\nbody",
-		"length, blank before":   ok + " Content-Length: 30\r\n\r\nbody",
-		"encoding, blank behind": ok + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"encoding, tab before":   ok + "\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"blank behind":           ok + "X-Bar : z\r\n" + length,
-		"blank within":           ok + "X Bar: z\r\n" + length,
-		"blank before":           ok + " X-Bar: z\r\n" + length,
-		"control byte":           ok + "X-\x01Bar: z\r\n" + length,
-		"no name":                ok + ": z\r\n" + length,
-		"in an interim answer":   "HTTP/1.1 103 Early Hints\r\nX Bar: z\r\n\r\n" + wholeAnswer,
+		"length, space before the colon": ok + "Content-Length : 30\r\n\r\nbody",
+		"length, leading space":          ok + " Content-Length: 30\r\n\r\nbody",
+		"coding, space before the colon": ok + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"coding, leading tab":            ok + "\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"space before the colon":         ok + "X-Bar : z\r\n" + length,
+		"space within":                   ok + "X Bar: z\r\n" + length,
+		"leading space":                  ok + " X-Bar: z\r\n" + length,
+		"control byte":                   ok + "X-\x01Bar: z\r\n" + length,
+		"no name":                        ok + ": z\r\n" + length,
+		"in an interim answer":           "HTTP/1.1 103 Early Hints\r\nX Bar: z\r\n\r\n" + wholeAnswer,
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/answers/doc.go
+++ b/answers/doc.go
@@ -1,3 +1,2 @@
-// Package answers detects answers over HTTP/1.1 that are broken although net/http takes them for
-// complete ones.
+// Package answers detects broken HTTP/1.1 answers that net/http accepts.
 package answers
--- a/answers/head.go
+++ b/answers/head.go
@@ -8,29 +8,29 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformedHead means that the head of an answer is no valid HTTP/1.1. What follows it may be
-// framed in another way than it seems.
+// ErrMalformedHead means that the head of an answer is not valid HTTP/1.1. What follows it may be
+// framed differently than it seems.
 var ErrMalformedHead = errors.New("malformed head")
 
 // HeadScanner checks the head of an answer, and the informational answers before it, as their
-// bytes arrive. It rejects what net/http accepts: statuses that no answer has, blanks in the
-// names of fields, folded lines, which look like names that begin with a blank, and encodings in
-// versions without them. It is no parser: it accepts heads that net/http rejects. The zero value
-// is ready for the first byte.
+// bytes arrive. It rejects what net/http accepts: invalid status codes, whitespace in field names,
+// folded lines, which can't be told from field names that begin with whitespace, and transfer
+// codings in versions before HTTP/1.1. It is not a parser: it accepts heads that net/http rejects.
+// The zero value is ready for the first byte.
 type HeadScanner struct {
 	state scanState
 	// lines is the number of complete lines before the present one.
 	lines int
-	// status is the number that the first digits of the status form.
+	// status is the status code so far, digits the number of its digits.
 	status, digits int
-	// matched is how many bytes of the expected version, or of the name of the field that declares
-	// an encoding, stand at the start of the present version or name, -1 if it is another one.
+	// matched is the number of bytes of the present version or field name that equal the start of
+	// currentVersion or codingField, -1 if one differs.
 	matched int
-	// current is set if the version is the one that has encodings.
+	// current is set if the version is currentVersion.
 	current bool
 }
 
-// scanState is what the next byte belongs to.
+// scanState is the part of the head to which the next byte belongs.
 type scanState uint8
 
 const (
@@ -45,11 +45,11 @@
 )
 
 const (
-	// statusDigits is the number of digits of a status.
+	// statusDigits is the number of digits of a status code.
 	statusDigits = 3
-	// version and encodingField are in small letters.
-	version       = "http/1.1"
-	encodingField = "transfer-encoding"
+	// currentVersion and codingField are in lower case.
+	currentVersion = "http/1.1"
+	codingField    = "transfer-encoding"
 )
 
 // Scan checks the next bytes of a connection. It ignores those after the head. The error wraps
@@ -82,7 +82,7 @@
 		return s.firstOfLine(b)
 	case afterReturn:
 		if b != '\n' {
-			return "no line feed after a carriage return"
+			return "carriage return without a line feed"
 		}
 		s.endHead()
 	case inName:
@@ -94,11 +94,11 @@
 func (s *HeadScanner) nextOfVersion(b byte) (problem string) {
 	switch b {
 	case ' ':
-		s.state, s.current = beforeStatus, s.matched == len(version)
+		s.state, s.current = beforeStatus, s.matched == len(currentVersion)
 	case '\n':
-		return "no status"
+		return "status line without a status code"
 	default:
-		s.match(version, b)
+		s.match(currentVersion, b)
 	}
 	return ""
 }
@@ -109,16 +109,16 @@
 	}
 	s.state = inStatus
 	if b < '0' || b > '9' {
-		return "no digit of a status"
+		return "invalid byte in the status code"
 	}
 	s.status = 10*s.status + int(b-'0')
 	if s.digits++; s.digits < statusDigits {
 		return ""
 	}
 	s.state = inLine
-	// The clients never ask for another protocol, so 101 answers no request either.
+	// No request asks for an upgrade, so 101 is as invalid as a status code below 100.
 	if s.status < http.StatusContinue || s.status == http.StatusSwitchingProtocols {
-		return fmt.Sprintf("status %03d", s.status)
+		return fmt.Sprintf("status code %03d", s.status)
 	}
 	return ""
 }
@@ -130,9 +130,9 @@
 	case '\r':
 		s.state = afterReturn
 	case ' ', '\t':
-		return "the line begins with a blank"
+		return "line begins with whitespace"
 	case ':':
-		return "the field has no name"
+		return "empty field name"
 	default:
 		s.state, s.matched = inName, 0
 		return s.nextOfName(b)
@@ -142,19 +142,19 @@
 
 func (s *HeadScanner) nextOfName(b byte) (problem string) {
 	switch {
-	case b == ':' && s.matched == len(encodingField) && !s.current:
-		return "an encoding in another version than HTTP/1.1" // net/http ignores it
+	case b == ':' && s.matched == len(codingField) && !s.current:
+		return "transfer coding in another version than HTTP/1.1" // net/http ignores it
 	case b == ':':
 		s.state = inLine
 	case !httpguts.IsTokenRune(rune(b)):
-		return "not a character of a field name"
+		return "invalid byte in a field name"
 	default:
-		s.match(encodingField, b)
+		s.match(codingField, b)
 	}
 	return ""
 }
 
-// match compares the next byte of a version or name with the text that is expected.
+// match compares the next byte of a version or field name with want.
 func (s *HeadScanner) match(want string, b byte) {
 	if 'A' <= b && b <= 'Z' {
 		b += 'a' - 'A'
--- a/answers/receipt.go
+++ b/answers/receipt.go
@@ -10,16 +10,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// pollInterval is the time between two looks at the state of a connection.
+// pollInterval is the time between two checks of the state of a connection.
 const pollInterval = 5 * time.Millisecond
 
-// ErrReset means that a connection was reset before its peer had received all data.
-var ErrReset = errors.New("connection reset before all data was received")
+// ErrReset means that a connection was reset before its peer had acknowledged all data.
+var ErrReset = errors.New("connection reset before all data was acknowledged")
 
-// AwaitReceipt waits until the peer of a connection has received all data that was written to it.
-// It returns ErrReset if the connection is reset first, also where the kernel tells no reader so
-// since the peer's data had ended, and an error that wraps net.ErrClosed if it is closed. It
-// returns nil at once for a connection whose kernel doesn't tell what was received.
+// AwaitReceipt waits until the peer of a connection has acknowledged all data that was written to
+// it. It returns ErrReset if the connection is reset first, which the kernel does not report to
+// readers after the end of the peer's data, and an error that wraps net.ErrClosed if the connection
+// is closed. It returns nil at once if the kernel does not report what was acknowledged.
 func AwaitReceipt(connection net.Conn) error {
 	tcp, ok := connection.(*net.TCPConn)
 	if !ok {
@@ -30,15 +30,15 @@
 		return fmt.Errorf("state of the connection: %w", err)
 	}
 	for {
-		received, err := receivedAll(raw)
-		if err != nil || received {
+		done, err := acknowledged(raw)
+		if err != nil || done {
 			return err
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
-func receivedAll(raw syscall.RawConn) (bool, error) {
+func acknowledged(raw syscall.RawConn) (bool, error) {
 	var info *unix.TCPInfo
 	var unsupported error
 	err := raw.Control(func(fd uintptr) { info, unsupported = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -10,14 +10,15 @@
 	"time"
 )
 
-// Transport is an http.RoundTripper that fails where an http.Transport returns a broken answer:
-// one with a malformed head (ErrMalformedHead), or one without a length whose connection was
-// reset while the request was written. It sees nothing of answers over TLS.
+// Transport is an http.RoundTripper over HTTP/1.1 that returns an error where an http.Transport
+// accepts a broken answer: one with a malformed head (ErrMalformedHead), or one without a length
+// whose connection ended before the server had received the request. It does not check answers
+// over TLS.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// NewTransport returns a transport that sends with base, and changes how base dials.
+// NewTransport returns a Transport that uses base. It replaces base.DialContext.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -40,10 +41,10 @@
 	return t.base.RoundTrip(request.WithContext(ctx))
 }
 
-// CloseIdleConnections closes the connections that no request uses.
+// CloseIdleConnections implements the interface that http.Client.CloseIdleConnections expects.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// exchange is a request and its answer. The transport may move it to another connection.
+// exchange is a request on its connection. The transport may retry it on another one.
 type exchange struct {
 	mu   sync.Mutex
 	conn *conn
@@ -67,14 +68,14 @@
 }
 
 // conn is a connection on which net/http writes a request while it reads the answer. The kernel
-// reports a reset once: if it is reported to the writer, the reader sees the end of the data.
+// reports a reset only once: if the writer gets it, the reader sees io.EOF.
 type conn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// head is nil until the first request. Over TLS it remains nil.
 	head *HeadScanner
-	// writing is set while the request is written, answered once the peer has sent anything
+	// writing is set while the request is written. answered is set once the peer has sent data
 	// since the request began.
 	writing, answered bool
 	// writeErr is the reason for which nothing more can be written.
@@ -116,8 +117,8 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn. After the start of an answer it returns io.EOF only if the peer has
-// received the request. The close of the connection ends the wait for that.
+// Read implements net.Conn. After the start of an answer it returns io.EOF only once the peer has
+// received the request. Close ends the wait for that.
 func (c *conn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
 	answered, malformed := c.received(into[:n])
@@ -131,7 +132,7 @@
 	}
 }
 
-// received checks data that the peer has sent, and reports whether it has answered.
+// received checks data from the peer, and reports whether the peer has begun to answer.
 func (c *conn) received(data []byte) (answered bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,7 +143,7 @@
 	return c.answered, c.head.Scan(data)
 }
 
-// end returns io.EOF once the peer has received the request, or the reason for which it won't.
+// end returns io.EOF once the peer has received the request, or the error that prevented it.
 func (c *conn) end() error {
 	for {
 		c.mu.Lock()
--- a/forward/body.go
+++ b/forward/body.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
 	a.stop = context.AfterFunc(ctx, a.conn.close)
-	// Whether a body that is not framed is complete doesn't matter, so a.Read's wait is left out.
+	// Unlike a.Read, does not wait for the upload: an unframed body need not be complete here.
 	n, err := io.Copy(io.Discard, io.LimitReader(a.body, limit+1))
 	if err != nil {
 		return fmt.Errorf("%w: after %d bytes: %w", ErrTruncated, n, err)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -162,9 +162,9 @@
 	return n, err
 }
 
-// interrupted returns the reason for which the end of the connection is not the end of an answer
-// that is not framed, nil if it is. It waits until the endpoint has received the request: the
-// kernel reports a reset once, and the goroutine that writes may be the one that gets it.
+// interrupted returns an error if an unframed body was interrupted although the reader saw io.EOF:
+// the kernel reports a reset only once, possibly to the goroutine that writes the request. It
+// waits until the endpoint has received the request.
 func (a *Answer) interrupted() error {
 	err := a.upload.confirm()
 	if a.ctx.Err() != nil {
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -37,7 +37,7 @@
 	wholeAnswer = "HTTP/1.1 200 OK\r\n" + headEnd
 )
 
-// net/http takes any three digits for a status, and a number with a sign.
+// net/http accepts any three digits as a status code, and a number with a sign.
 func TestAnAnswerWithAStatusThatNoAnswerHasIsNoAnswer(t *testing.T) {
 	for name, text := range map[string]string{
 		"000":                        "HTTP/1.1 000 \r\n" + headEnd,
@@ -75,21 +75,21 @@
 	}
 }
 
-// malformedFields are heads with a field whose name is none, and the bodies behind them. net/http
-// takes those with a blank in the name, and joins a line that begins with a blank to the one before.
+// malformedFields are header fields with an invalid name, and the body after them. net/http accepts
+// spaces in the name, and joins a line that begins with whitespace to the previous one.
 var malformedFields = map[string]string{
-	"a blank before the colon":           "X-Foo : y\r\n" + headEnd,
-	"a blank within":                     "X Foo: y\r\n" + headEnd,
-	"a blank at the start":               " X-Foo: y\r\n" + headEnd,
-	"a blank at the start, later":        "X-Foo: y\r\n X-Bar: z\r\n" + headEnd,
-	"a tab at the start, later":          "X-Foo: y\r\n\tX-Bar: z\r\n" + headEnd,
-	"nothing but blanks":                 "X-Foo: y\r\n   \r\n" + headEnd,
-	"a length with a blank behind":       "Id: r\r\nContent-Length : 30\r\n\r\npart of a body",
-	"a length with a blank before":       "Id: r\r\n Content-Length: 30\r\n\r\npart of a body",
-	"a length with a blank within":       "Id: r\r\nContent- Length: 30\r\n\r\npart of a body",
-	"an encoding with a blank behind":    "Id: r\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-	"an encoding with a blank before":    "Id: r\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-	"a tab before the colon":             "X-Foo\t: y\r\n" + headEnd,
+	"space before the colon":             "X-Foo : y\r\n" + headEnd,
+	"space within":                       "X Foo: y\r\n" + headEnd,
+	"leading space":                      " X-Foo: y\r\n" + headEnd,
+	"leading space, second line":         "X-Foo: y\r\n X-Bar: z\r\n" + headEnd,
+	"leading tab, second line":           "X-Foo: y\r\n\tX-Bar: z\r\n" + headEnd,
+	"only spaces":                        "X-Foo: y\r\n   \r\n" + headEnd,
+	"length, space before the colon":     "Id: r\r\nContent-Length : 30\r\n\r\npart of a body",
+	"length, leading space":              "Id: r\r\n Content-Length: 30\r\n\r\npart of a body",
+	"length, space within":               "Id: r\r\nContent- Length: 30\r\n\r\npart of a body",
+	"coding, space before the colon":     "Id: r\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"coding, leading space":              "Id: r\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"tab before the colon":               "X-Foo\t: y\r\n" + headEnd,
 	"0x00":                               "X-\x00Foo: y\r\n" + headEnd,
 	"0x01":                               "X-\x01Foo: y\r\n" + headEnd,
 	"0x0b":                               "X-\x0bFoo: y\r\n" + headEnd,
@@ -171,13 +171,12 @@
 	}
 }
 
-// net/http ignores the encoding of an answer in HTTP/1.0, whose body then has the sizes of the
-// chunks in it.
+// net/http ignores Transfer-Encoding in HTTP/1.0, so the chunk sizes would be part of the body.
 func TestAnAnswerInAnOlderVersionWithAnEncodingIsNoAnswer(t *testing.T) {
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
 	for name, text := range map[string]string{
 		"1.0":                 "HTTP/1.0 200 OK\r\nId: r\r\n" + chunked,
-		"1.0, in small":       "HTTP/1.0 200 OK\r\nId: r\r\n" + strings.ToLower(chunked),
+		"1.0, lower case":     "HTTP/1.0 200 OK\r\nId: r\r\n" + strings.ToLower(chunked),
 		"1.0, behind 1.1":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nId: r\r\n" + chunked,
 		"0.9":                 "HTTP/0.9 200 OK\r\nId: r\r\n" + chunked,
 		"1.0, also a length":  "HTTP/1.0 200 OK\r\nId: r\r\nContent-Length: 4\r\n" + chunked,
--- a/forward/upload.go
+++ b/forward/upload.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// confirm waits until the endpoint has received the complete request, and returns an error if
-// it will not receive it. The close of the connection ends the wait.
+// confirm waits until the endpoint has received the complete request. It returns an error if the
+// connection ended before that.
 func (u *upload) confirm() error {
 	<-u.done
 	if u.err != nil || !u.hasBody {
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -61,30 +61,30 @@
 	})
 }
 
-// net/http takes names with blanks. What callers get depends on the field: without its length or
-// its encoding, a body is framed in another way than its endpoint framed it.
+// net/http accepts spaces in field names. A body whose length or transfer coding is not recognized is
+// framed differently than its endpoint framed it.
 func TestAnAnswerWithAMalformedNameOfAFieldDoesNotReachCallers(t *testing.T) {
 	const (
 		ok     = "HTTP/1.1 200 OK\r\n"
 		length = "Content-Length: 15\r\n\r\n" + firstEvent
 	)
 	texts := map[string]string{
-		"length, blank behind":    ok + sealed + "Content-Length : 30\r\n\r\n" + firstEvent,
-		"length, blank before":    ok + sealed + " Content-Length: 30\r\n\r\n" + firstEvent,
-		"encoding, blank behind":  ok + sealed + "Transfer-Encoding : chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
-		"encoding, blank before":  ok + sealed + "\tTransfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
-		"other, blank behind":     ok + sealed + "X-Foo : y\r\n" + length,
-		"other, blank within":     ok + sealed + "X Foo: y\r\n" + length,
-		"other, blank before":     ok + sealed + " X-Foo: y\r\n" + length,
-		"encoding in HTTP/1.0":    "HTTP/1.0 200 OK\r\n" + sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
-		"in an interim answer":    "HTTP/1.1 103 Early Hints\r\nX Foo: y\r\n\r\n" + otherAnswer,
-		"no name":                 ok + sealed + ": y\r\n" + length,
-		"header without a colon":  ok + sealed + "X-Foo\r\n" + length,
-		"carriage return":         ok + sealed + "X-Foo\r: y\r\n" + length,
-		"tab":                     ok + sealed + "X-Foo\t: y\r\n" + length,
-		"high byte":               ok + sealed + "X-F\xf6o: y\r\n" + length,
-		"control bytes, length":   ok + sealed + "Content-\x01Length: 30\r\n\r\n" + firstEvent,
-		"control bytes, encoding": ok + sealed + "Transfer-\x7fEncoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
+		"length, space before the colon": ok + sealed + "Content-Length : 30\r\n\r\n" + firstEvent,
+		"length, leading space":          ok + sealed + " Content-Length: 30\r\n\r\n" + firstEvent,
+		"coding, space before the colon": ok + sealed + "Transfer-Encoding : chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
+		"coding, leading space":          ok + sealed + "\tTransfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
+		"other, space before the colon":  ok + sealed + "X-Foo : y\r\n" + length,
+		"other, space within":            ok + sealed + "X Foo: y\r\n" + length,
+		"other, leading space":           ok + sealed + " X-Foo: y\r\n" + length,
+		"coding in HTTP/1.0":             "HTTP/1.0 200 OK\r\n" + sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
+		"in an interim answer":           "HTTP/1.1 103 Early Hints\r\nX Foo: y\r\n\r\n" + otherAnswer,
+		"no name":                        ok + sealed + ": y\r\n" + length,
+		"header without a colon":         ok + sealed + "X-Foo\r\n" + length,
+		"carriage return":                ok + sealed + "X-Foo\r: y\r\n" + length,
+		"tab":                            ok + sealed + "X-Foo\t: y\r\n" + length,
+		"high byte":                      ok + sealed + "X-F\xf6o: y\r\n" + length,
+		"control byte, length":           ok + sealed + "Content-\x01Length: 30\r\n\r\n" + firstEvent,
+		"control byte, coding":           ok + sealed + "Transfer-\x7fEncoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n",
 	}
 	for _, b := range []byte{0x00, 0x01, 0x08, 0x0b, 0x0c, 0x1f, 0x7f} {
 		texts[fmt.Sprintf("control byte %#x", b)] = ok + sealed + "X-" + string(b) + "Foo: y\r\n" + length
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -1,4 +1,4 @@
-// Package broken is a stand-in that writes broken answers, as servers in trouble do.
+// Package broken is a stand-in for servers whose answers are broken.
 package broken
 
 import (
@@ -10,7 +10,7 @@
 	"sync"
 )
 
-// Server answers each connection's first request with bytes.
+// Server answers the first request of each connection.
 type Server struct {
 	// Address is its host and port.
 	Address string
@@ -19,8 +19,8 @@
 	open     sync.WaitGroup
 }
 
-// Answer writes to the connection of a request whose body is unread. The connection is closed
-// afterwards; the kernel resets it if data is unread.
+// Answer writes the answer to a request, whose body is unread. The connection is closed afterwards;
+// the kernel resets it if data is unread.
 type Answer func(conn *net.TCPConn, request *http.Request)
 
 // Serve starts a server on a loopback port.
@@ -54,8 +54,8 @@
 	s.open.Wait()
 }
 
-// Heads returns broken forms of an answer, by what is wrong with them. Whole is a complete answer
-// with a Content-Length.
+// Heads returns variants of an answer with a broken head, by their problem. Whole is a complete
+// answer with a Content-Length.
 func Heads(whole string) map[string]string {
 	head, body, _ := strings.Cut(whole, "\r\n\r\n")
 	status, fields, _ := strings.Cut(head, "\r\n")
@@ -69,20 +69,20 @@
 	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	half := body[:len(body)/2]
 	return map[string]string{
-		"status 000":                   "HTTP/1.1 000 Error\r\n" + fields + "\r\n\r\n" + body,
-		"status 000 without a length":  "HTTP/1.1 000 Error\r\n\r\n" + body,
-		"status 000, another answer":   "HTTP/1.1 000 Error\r\n\r\n" + whole,
-		"length with a blank behind":   fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", start, len(body), half),
-		"length with a blank before":   fmt.Sprintf("%sX: y\r\n Content-Length: %d\r\n\r\n%s", start, len(body), half),
-		"length with a control byte":   fmt.Sprintf("%sContent-\x01Length: %d\r\n\r\n%s", start, len(body), half),
-		"encoding with a blank behind": start + "Transfer-Encoding : chunked\r\n\r\n" + chunked,
-		"encoding with a tab before":   start + "X: y\r\n\tTransfer-Encoding: chunked\r\n\r\n" + chunked,
-		"encoding in HTTP/1.0":         strings.Replace(start, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunked,
-		"another name with a blank":    status + "\r\nX y: z\r\n" + fields + "\r\n\r\n" + body,
+		"status 000":                     "HTTP/1.1 000 Error\r\n" + fields + "\r\n\r\n" + body,
+		"status 000 without a length":    "HTTP/1.1 000 Error\r\n\r\n" + body,
+		"status 000, another answer":     "HTTP/1.1 000 Error\r\n\r\n" + whole,
+		"length, space before the colon": fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", start, len(body), half),
+		"length, leading space":          fmt.Sprintf("%sX: y\r\n Content-Length: %d\r\n\r\n%s", start, len(body), half),
+		"length, control byte":           fmt.Sprintf("%sContent-\x01Length: %d\r\n\r\n%s", start, len(body), half),
+		"coding, space before the colon": start + "Transfer-Encoding : chunked\r\n\r\n" + chunked,
+		"coding, leading tab":            start + "X: y\r\n\tTransfer-Encoding: chunked\r\n\r\n" + chunked,
+		"coding in HTTP/1.0":             strings.Replace(start, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunked,
+		"other field, space within":      status + "\r\nX y: z\r\n" + fields + "\r\n\r\n" + body,
 	}
 }
 
-// CutHeads returns the beginnings of an answer that end within its head.
+// CutHeads returns the prefixes of an answer that end within its head.
 func CutHeads(whole string) []string {
 	var cut []string
 	for end := range strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n") {
