spread: chunks are fetched once from an origin that is back

Cause: while the origin is away, the three machines that may fetch a chunk give up on each other, and on its return each of them fetches the chunk itself. Ruled out: time-outs of fetches from the origin (none after its return). Change: a machine stands in for a head that has not failed only after its own chunks and one PeerWait after the origin has answered it again; failures counted during the outage are forgotten then. The new test fails before the change.

--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -189,6 +189,10 @@
 	path       []core.VMID
 	// started is the start time of each fetch in flight.
 	started map[int]time.Time
+	// originFailed is set from a fetch that the origin did not answer until one that it did,
+	// at originReturnedAt.
+	originFailed     bool
+	originReturnedAt time.Time
 }
 
 func newChunkOwner(start Start, tuning Tuning) Policy {
@@ -265,7 +269,7 @@
 	case MembersChanged:
 		p.setMembers(e.Members, now)
 	case ChunkStored:
-		p.onStored(e)
+		p.onStored(now, e)
 	case FetchFailed:
 		p.onFailed(now, e)
 	case ChunkLost:
@@ -386,10 +390,24 @@
 	p.windows[class] = min(p.windows[class]+1, p.maxWindows[class])
 }
 
-func (p *chunkOwner) onStored(e ChunkStored) {
+func (p *chunkOwner) onStored(now time.Time, e ChunkStored) {
 	class := p.chunks[e.Chunk].class
 	p.finish(e.Chunk)
 	p.chunks[e.Chunk].state = chunkStored
 	p.adapt(class, e.Transfer)
 	p.suspects.clear(e.Source.Peer, p.topology.zoneOf)
+	if e.Source.IsOrigin() && p.originFailed {
+		p.originFailed, p.originReturnedAt = false, now
+		p.forgetFailures()
+	}
+}
+
+// forgetFailures makes all chunks that are not stored be requested from their heads first
+// again. While the origin was away, no head had them.
+func (p *chunkOwner) forgetFailures() {
+	for chunk := range p.chunks {
+		if record := &p.chunks[chunk]; record.state != chunkStored {
+			record.attempts, record.misses, record.skippedAncestors = 0, 0, 0
+		}
+	}
 }
--- a/spread/chunk_owner_choose.go
+++ b/spread/chunk_owner_choose.go
@@ -193,12 +193,47 @@
 
 // chooseFallback returns the source for a machine whose ancestors have all
 // failed: a random machine of the region or, on every second attempt and only
-// for the first ranks of a chunk, the source that a head would use.
+// for the first ranks of a chunk, the source that a head would use, or the head
+// itself.
 func (p *chunkOwner) chooseFallback(now time.Time, chunk int) (Source, fetchClass) {
-	if p.chunks[chunk].attempts%2 == 0 && p.topology.headRank(chunk, ownerRootRanks) < ownerRootRanks {
-		return p.chooseAsHead(now, chunk)
+	if p.chunks[chunk].attempts%2 != 0 || p.topology.headRank(chunk, ownerRootRanks) >= ownerRootRanks {
+		return p.randomInRegion(now, chunk)
 	}
-	return p.randomInRegion(now, chunk)
+	if !p.mayStandIn(now) {
+		if head, ok := p.effectiveHead(now, chunk); ok {
+			return Source{Peer: head.ID}, classPeer
+		}
+	}
+	return p.chooseAsHead(now, chunk)
+}
+
+// mayStandIn reports whether this machine may use the source of a head that has
+// not failed.
+//
+// Load pattern: the origin returns after an outage in which all heads failed. If
+// each of a chunk's first ranks requested it from the origin, the origin's link
+// would carry every chunk several times. A machine of the root region therefore
+// fetches the chunks of which it is the head first, and then leaves the heads
+// some time for theirs.
+func (p *chunkOwner) mayStandIn(now time.Time) bool {
+	if p.start.Self.Region != p.topology.root {
+		return true
+	}
+	return now.Sub(p.originReturnedAt) >= p.tuning.Timeouts.PeerWait && !p.needsOwnChunks(now)
+}
+
+// needsOwnChunks reports whether a chunk of which this machine is the head is not
+// stored.
+func (p *chunkOwner) needsOwnChunks(now time.Time) bool {
+	for chunk := range p.chunks {
+		if p.chunks[chunk].state == chunkStored {
+			continue
+		}
+		if head, ok := p.effectiveHead(now, chunk); ok && head.ID == p.start.Self.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // randomAttempts is how many machines randomInRegion tries before it accepts
--- a/spread/chunk_owner_failures.go
+++ b/spread/chunk_owner_failures.go
@@ -74,6 +74,7 @@
 func (p *chunkOwner) handleOriginFailure(now time.Time, record *chunkRecord, failure Failure) time.Duration {
 	switch failure {
 	case FailureTimeout:
+		p.originFailed = true
 		p.suspect(originSuspect, now)
 		increment(&record.attempts)
 	case FailureCorrupt:
--- a/spread/chunk_owner_test.go
+++ b/spread/chunk_owner_test.go
@@ -317,6 +317,32 @@
 	}
 }
 
+// Load pattern: the origin, whose link takes 45 ms for a chunk, is away for six seconds
+// while a version spreads. In that time each relay of its region has given up on the
+// others. Guards against three relays fetching the same chunk, which takes the origin
+// three times as long.
+func TestChunksAreFetchedOnceFromAnOriginThatIsBack(t *testing.T) {
+	const (
+		chunks, originTime = 48, 45 * time.Millisecond
+		restored           = 6 * time.Second
+	)
+	for seed := range uint64(40) {
+		sim := newSimulation(addRelays(testMembers(66, 3, 3), 37, 3, 3), chunks, seed, NewChunkOwner(QuickTuning))
+		sim.originDown, sim.originTime = true, originTime
+		begin := sim.clock.Now()
+		sim.after(restored, func() { sim.originDown = false })
+		for !sim.allStored() && sim.clock.Now().Before(begin.Add(time.Minute)) {
+			sim.runUntil(sim.clock.Now().Add(50 * time.Millisecond))
+		}
+		g := NewWithT(t)
+		g.Expect(sim.violations).To(BeEmpty())
+		g.Expect(sim.reads).To(BeNumerically("<=", 1.4*chunks), "seed %d", seed)
+		timeouts := QuickTuning.Timeouts
+		limit := chunks*originTime + timeouts.MaxHoldOff + timeouts.MaxRetry + timeouts.PeerWait
+		g.Expect(sim.clock.Now().Sub(begin)).To(BeNumerically("<=", restored+limit), "seed %d", seed)
+	}
+}
+
 // Load pattern: one of the relays that fetch from the origin loses its
 // connection to the origin, but not to the other machines. Its chunks, a third
 // of all, have to come through the two other relays of its region, and both may
--- a/spread/simulation_test.go
+++ b/spread/simulation_test.go
@@ -21,7 +21,11 @@
 	manifest *core.Manifest
 	windows  [classCount]int
 
-	originDown    bool
+	originDown bool
+	// originTime is how long the origin's link takes for one chunk, and originFree when it
+	// has sent all chunks that were requested so far.
+	originTime    time.Duration
+	originFree    time.Time
 	corrupt       float64
 	originFetches []int
 	// reads counts the chunks that were received from the origin.
@@ -199,6 +203,10 @@
 			sim.finish(n, fetch, FailureTimeout, false)
 		case sim.unreachable(n, fetch):
 			sim.after(fetch.Timeout, func() { sim.finish(n, fetch, FailureTimeout, false) })
+		case fetch.Source.IsOrigin() && sim.originTime > 0:
+			sim.originFree = sim.originFree.Add(max(sim.clock.Now().Sub(sim.originFree), 0) + sim.originTime)
+			corrupt := sim.random.Float64() < sim.corrupt
+			sim.after(sim.originFree.Sub(sim.clock.Now()), func() { sim.finish(n, fetch, FailureCorrupt, !corrupt) })
 		case fetch.Source.IsOrigin() || sim.byID[fetch.Source.Peer].stored[fetch.Chunk]:
 			corrupt := sim.random.Float64() < sim.corrupt
 			sim.finish(n, fetch, FailureCorrupt, !corrupt)
