placement: standing queues drain, ranks decide across gateways, reported speed counts

Cause: after a loss of engines each gateway keeps a queue of 0.4 to 0.7 s for as long as arrivals are at the capacity; ranks order one gateway's queue only; the fourth load figure is dropped. Change: a queue that no call finds short for the duration of a call is drained by rejecting new calls at once; slots are divided by rank and lent by rank, and engines are told the rank, where the settings list the policy pressure; predictions use the reported speed while it is fresh. The new tests fail before the change or do not compile.

--- a/agent/follower.go
+++ b/agent/follower.go
@@ -191,7 +191,7 @@
 		a.quota.Seen(boottime.Now(), f.gateway, startquota.Report{Process: f.process, Number: message.GetLeaseNumber(), Sent: int(message.GetStartsSent())})
 	}
 	if demand := message.GetWant(); demand != nil && f.gateway != "" {
-		a.divider.SetDemand(boottime.Now(), f.gateway, slotshare.Demand{Calls: float64(demand.GetCalls()), Open: int(demand.GetOpen())})
+		a.divider.SetDemand(boottime.Now(), f.gateway, decodeDemand(demand))
 	}
 	if message.GetRelay() == nil || proto.Equal(f.relay, message.GetRelay().GetMember()) {
 		return nil, false
@@ -201,6 +201,26 @@
 	return a.relays, true
 }
 
+// maxDemand bounds the calls that a gateway may ask for.
+const maxDemand = 1e6
+
+// decodeDemand converts a gateway's demand. Values that are no sensible number of calls count as
+// none.
+func decodeDemand(want *peerpb.SlotWant) slotshare.Demand {
+	demand := slotshare.Demand{Calls: demandedCalls(want.GetCalls()), Open: int(want.GetOpen())}
+	for _, calls := range want.GetRanked()[:min(len(want.GetRanked()), slotshare.Ranks)] {
+		demand.Ranked = append(demand.Ranked, demandedCalls(calls))
+	}
+	return demand
+}
+
+func demandedCalls(calls float32) float64 {
+	if !(calls > 0) { // also false for NaN
+		return 0
+	}
+	return min(float64(calls), maxDemand)
+}
+
 // applyLimits takes the engine's slots and its limit of call starts from a declaration that
 // is not older than the last one. Gateways that can't reach the store have older ones. The
 // caller must hold a.mu.
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -45,7 +45,7 @@
 	return placement.Config{
 		Name: string(s.VM),
 		Zone: s.Zone, Region: s.Region, ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
-		VersionSwitch: s.Bounds.VersionSwitch, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		VersionSwitch: s.Bounds.VersionSwitch, Contention: s.Contention, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -58,6 +58,7 @@
 	return gateway.Config{
 		Name: s.VM, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
 		MaxKeyAge: s.Bounds.KeyRevocation - keyMargin, MaxDeclarationAge: s.Bounds.ConfigInForce,
+		Contention: s.Contention,
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetrySlack: s.Bounds.RetrySlack,
 		MetricsListen: o.MetricsListen(s),
 		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
--- a/forward/call.go
+++ b/forward/call.go
@@ -50,6 +50,9 @@
 	Remaining time.Duration
 	// LastEvent is the ID of the last event that was passed on.
 	LastEvent string
+	// Rank is the rank of the call, 0 being the highest. The endpoint is told it if Ranked is set.
+	Rank   int
+	Ranked bool
 	// Start is called when a connection is open, unless it is nil. It returns the time left
 	// for the endpoint to answer, and whether the attempt may still be sent.
 	Start func() (remaining time.Duration, permitted bool)
@@ -61,6 +64,9 @@
 // Load is the load that an endpoint reports: calls running and waiting, and slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the endpoint now, 1 being as usual, 0 if it is not
+	// reported.
+	Slowdown float64
 }
 
 // Classification is the meaning of the head of an answer.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -18,6 +18,8 @@
 var (
 	rejections = expvar.NewMap("refusals")
 	outcomes   = expvar.NewMap("outcomes")
+	// standingRejections counts the calls that were rejected so that a standing queue drains.
+	standingRejections = expvar.NewInt("standing_queue_refusals")
 	// endpointRejections counts rejections by endpoints by status.
 	endpointRejections = expvar.NewMap("endpoint_rejections")
 	firstByte          = metrics.NewHistogram("first_byte")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/zinniaseam/zinniaseam/catalogue"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 // remaining returns the time left for an endpoint to answer.
@@ -23,6 +24,7 @@
 	s.tried = append(s.tried, endpoint.ID)
 	attempt := forward.Attempt{
 		Call: s.admitted.call, Endpoint: endpoint, Team: s.admitted.teamName(), LastEvent: s.lastEvent,
+		Rank: slotshare.Rank(ticket.Request.Priority), Ranked: g.config.Contention,
 		Start:    func() (time.Duration, bool) { return s.remaining(), g.scheduler.mayStart(ticket) },
 		Received: func(c forward.Classification) { s.endpointSaid(endpoint, c) },
 	}
@@ -34,7 +36,7 @@
 	}
 	defer answer.Close()
 	if load := answer.Classification.Load; load != nil {
-		g.scheduler.report(endpoint.ID, placement.LoadReport{Running: load.Running, Waiting: load.Waiting, At: g.now()})
+		g.scheduler.report(endpoint.ID, placement.LoadReport{Running: load.Running, Waiting: load.Waiting, Slowdown: load.Slowdown, At: g.now()})
 	}
 	if answer.Classification.NotRun {
 		return s.attemptRejected(ticket, decision, answer)
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -94,7 +94,7 @@
 	request := placement.Request{
 		ID: a.call.ID, Service: a.service, Homes: [][]core.RegionID{a.route.AllowedRegions},
 		PromptTokens: a.call.PromptTokens, OutputTokens: a.call.OutputTokens, Priority: a.route.Priority,
-		Deadline: a.deadline, Tried: tried,
+		Deadline: a.deadline, Tried: tried, Team: a.teamName(),
 		Continues: headSent, MayMove: a.route.Retryable() && len(tried)+1 < a.route.MaxAttempts,
 	}
 	if a.route.EventTimeout > 0 {
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -38,7 +38,7 @@
 		if !known || link.demand != nil && now.Sub(link.demandAt) < link.demandRepeat() && (!link.sameRegion || !demandChanged(link.demand, demand)) {
 			continue
 		}
-		link.demand, link.demandAt = &peerpb.SlotWant{Calls: float32(demand.Calls), Open: uint32(demand.Open)}, now
+		link.demand, link.demandAt = encodeDemand(demand), now
 		link.wake()
 	}
 }
@@ -51,6 +51,19 @@
 	return demandRepeat
 }
 
+func encodeDemand(demand slotshare.Demand) *peerpb.SlotWant {
+	want := &peerpb.SlotWant{Calls: float32(demand.Calls), Open: uint32(demand.Open)}
+	last := -1
+	for rank, calls := range demand.Ranked {
+		want.Ranked = append(want.Ranked, float32(calls))
+		if calls > 0 {
+			last = rank
+		}
+	}
+	want.Ranked = want.Ranked[:last+1]
+	return want
+}
+
 func demandChanged(sent *peerpb.SlotWant, demand slotshare.Demand) bool {
 	return int(sent.GetOpen()) != demand.Open || math.Abs(float64(sent.GetCalls())-demand.Calls) > demandThreshold*demand.Calls
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,8 @@
 	// MaxDeclarationAge is the maximum age of the declaration at which calls are finally
 	// rejected based on it. An older one is confirmed first.
 	MaxDeclarationAge time.Duration
+	// Contention is set where calls of different ranks compete for the endpoints.
+	Contention bool
 	// RetryRatio and RetrySlack set the retry budget: the sends beyond the first per call,
 	// and how many more all gateways together may send at once.
 	RetryRatio, RetrySlack float64
@@ -127,6 +129,7 @@
 	g.quarantine = newQuarantineGuard(now, logger)
 	g.quarantine.changed, g.quarantine.mayTry = g.agents.wakeAll, g.agents.mayTry
 	g.scheduler.lender = newLender(config.Relay, pool, g.scheduler, logger)
+	g.scheduler.lender.ranked = config.Contention
 	relay.onManifest, relay.enginesServing = g.agents.wakeAll, g.agents.enginesServing
 	tracker.OnChange(g.scheduler.setView)
 	tracker.OnChange(g.agents.setView)
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
@@ -15,6 +16,7 @@
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 const (
@@ -53,6 +55,8 @@
 	log       *log.Logger
 	self      string
 	zone      core.ZoneID
+	// ranked is set where calls compete by rank.
+	ranked bool
 
 	mu sync.Mutex
 	// peers are the other gateways of the zone, with the time until which each is
@@ -163,6 +167,9 @@
 	message := &peerpb.LendRequest{
 		Service: string(request.Service), PromptTokens: uint32(request.PromptTokens), OutputTokens: uint32(request.OutputTokens),
 	}
+	if l.ranked {
+		message.Rank = proto.Uint32(uint32(slotshare.Rank(request.Priority)))
+	}
 	for _, homes := range request.Homes {
 		regions := &peerpb.Regions{}
 		for _, region := range homes {
@@ -204,6 +211,10 @@
 func (l *lender) Lend(_ context.Context, message *peerpb.LendRequest) (*peerpb.LendReply, error) {
 	request := placement.Request{
 		Service: core.ServiceID(message.GetService()), PromptTokens: int(message.GetPromptTokens()), OutputTokens: int(message.GetOutputTokens()),
+		Priority: slotshare.Ranks, // behind calls of all ranks, unless the message has one
+	}
+	if message.Rank != nil {
+		request.Priority = slotshare.Rank(int(message.GetRank()))
 	}
 	for _, homes := range message.GetHomes() {
 		var regions []core.RegionID
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -287,9 +287,12 @@
 	if s.quarantined() {
 		rejected = quarantined
 	}
+	if decision.StandingFor > 0 {
+		standingRejections.Add(1)
+	}
 	s.gateway.reject(s.writer, s.admitted.call, rejected, "route", s.admitted.route.Name, "team", s.admitted.teamName(), "waitedMs", decision.Waited.Milliseconds(),
 		"timeLeftMs", decision.TimeLeft.Milliseconds(), "startsInMs", decision.StartsIn.Milliseconds(), "ahead", decision.Ahead,
-		"candidates", decision.Candidates, "sends", s.rejectedSends, "endpoints", s.tried)
+		"standingMs", decision.StandingFor.Milliseconds(), "candidates", decision.Candidates, "sends", s.rejectedSends, "endpoints", s.tried)
 }
 
 // fail ends a call that may have run.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -86,22 +86,56 @@
 	}
 	weights := 0.0
 	for _, e := range ready {
-		weights += p.proximityWeight(e)
+		weights += p.demandWeight(e)
 	}
 	measured := ready
 	if len(ready) == 0 {
 		measured = coming
 	}
 	calls := p.arrivalsBefore(now, service, anyPriority)*meanCallTime(measured).Seconds() + float64(countOf(p.queue, service))
+	ranked := p.rankedShares(now, service, meanCallTime(measured))
 	for _, e := range ready {
-		demands[e.Address] = slotshare.Demand{Calls: calls * p.proximityWeight(e) / weights, Open: e.usedSlots()}
+		part := p.demandWeight(e) / weights
+		demands[e.Address] = slotshare.Demand{Calls: calls * part, Ranked: times(ranked, part), Open: e.usedSlots()}
 	}
 	for _, e := range coming {
-		weight := p.proximityWeight(e)
-		demands[e.Address] = slotshare.Demand{Calls: calls * weight / (weights + weight), Open: e.usedSlots()}
+		part := p.demandWeight(e) / (weights + p.demandWeight(e))
+		demands[e.Address] = slotshare.Demand{Calls: calls * part, Ranked: times(ranked, part), Open: e.usedSlots()}
 	}
 }
 
+// rankedShares returns the demand for a service by rank, nil unless calls compete by rank.
+func (p *Placer) rankedShares(now boottime.Instant, service core.ServiceID, callTime time.Duration) []float64 {
+	if !p.config.Contention {
+		return nil
+	}
+	ranked := make([]float64, slotshare.Ranks)
+	for rank, rate := range p.arrivals[service] {
+		ranked[slotshare.Rank(rank)] += rate.rate(now) * callTime.Seconds()
+	}
+	for _, ticket := range p.queue {
+		if ticket.Request.Service == service {
+			ranked[slotshare.Rank(ticket.Request.Priority)]++
+		}
+	}
+	return ranked
+}
+
+// times returns the values multiplied by a factor.
+func times(values []float64, factor float64) []float64 {
+	var scaled []float64
+	for _, value := range values {
+		scaled = append(scaled, value*factor)
+	}
+	return scaled
+}
+
+// demandWeight is the weight of an engine in the division of the demand: less for those that are
+// far or have been slow for seconds.
+func (p *Placer) demandWeight(e *endpointState) float64 {
+	return p.proximityWeight(e) / e.speed.lasting()
+}
+
 func meanCallTime(engines []*endpointState) time.Duration {
 	var total time.Duration
 	for _, e := range engines {
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -16,7 +16,10 @@
 // LoadReport is the load that an endpoint reported.
 type LoadReport struct {
 	Running, Waiting int
-	At               boottime.Instant
+	// Slowdown is how long work takes at the endpoint now, 1 being as usual, 0 if it is not
+	// reported.
+	Slowdown float64
+	At       boottime.Instant
 }
 
 // EngineStatus is a status report of the agent on an engine's VM.
@@ -75,6 +78,7 @@
 	replacedUntil boottime.Instant
 	// said is what the endpoint has said about itself.
 	said  notices.State
+	speed speed
 	facts facts
 }
 
@@ -195,6 +199,9 @@
 	}
 	e.report = report
 	e.sentSince, e.endedSince = 0, 0
+	if report.Slowdown > 0 {
+		e.speed.report(report.At, report.Slowdown)
+	}
 }
 
 // predictFirstByte predicts the time to the first byte of an answer.
@@ -204,11 +211,12 @@
 	if ahead := calls - e.Slots + 1; ahead > 0 {
 		wait = time.Duration(ahead) * e.expectedCallTime() / time.Duration(e.Slots)
 	}
+	slowdown := e.speed.now(now)
 	if e.profile == nil {
-		return wait + e.expectedCallTime()
+		return scaled(wait+e.expectedCallTime(), slowdown)
 	}
 	tokens := e.pendingPrefill() + request.PromptTokens
-	return wait + e.passTime(calls) + e.prefillTime(tokens)
+	return scaled(wait+e.passTime(calls)+e.prefillTime(tokens), slowdown)
 }
 
 // passTime is the duration of one pass of an engine that runs the given number of other
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -9,7 +10,8 @@
 
 // Lend lends one of this process's free slots to another process for a request. The
 // ticket occupies the slot until Ended is called for it. Lend returns nil if no slot
-// is free or own calls wait for one.
+// is free or own calls wait for one; where calls compete by rank, own calls of the same or a
+// higher rank.
 //
 // Load pattern: many gateways send to many engines. Each owns few slots, and while
 // calls wait at one gateway, slots of others are briefly free. Waiting calls borrow
@@ -17,7 +19,9 @@
 func (p *Placer) Lend(now boottime.Instant, request Request) *Ticket {
 	p.nextPass()
 	ticket := &Ticket{Request: request, arrived: now}
-	if countOf(p.queue, request.Service) > 0 {
+	if slices.ContainsFunc(p.queue, func(own *Ticket) bool {
+		return own.Request.Service == request.Service && (!p.config.Contention || own.Request.Priority <= request.Priority)
+	}) {
 		return nil
 	}
 	best, expected, _ := p.best(now, &request, nil)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -25,6 +25,9 @@
 	// VersionSwitch is how long older weights may start work after newer ones were
 	// declared.
 	VersionSwitch time.Duration
+	// Contention is set where calls of different ranks compete for the endpoints, so that the
+	// rank decides wherever a call competes for room.
+	Contention bool
 	// Random is the source of randomness.
 	Random *rand.Rand
 }
@@ -86,6 +89,12 @@
 	inTouch map[string]bool
 	// notices are what endpoints have said about themselves.
 	notices *notices.Book
+	// standing are the queues that may be standing ones, displaced the waiting calls that have
+	// been rejected since the last Pump.
+	standing  map[queueKey]*standingQueue
+	displaced []*Ticket
+	// reportsSpeed are the services whose endpoints report how long work takes.
+	reportsSpeed map[core.ServiceID]bool
 }
 
 // New returns a placer without endpoints.
@@ -94,7 +103,7 @@
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, returns: map[core.ServiceID]boottime.Instant{}, capacities: map[core.ServiceID]capacity{}, senders: map[string]*startquota.Sender{}, declared: map[string]*rollout.Declarations{},
 		arrivals: map[core.ServiceID]map[int]*arrivalRate{}, slowest: map[core.ServiceID]*slowest{},
-		notices: notices.NewBook(),
+		notices: notices.NewBook(), standing: map[queueKey]*standingQueue{}, reportsSpeed: map[core.ServiceID]bool{},
 	}
 }
 
@@ -176,6 +185,7 @@
 func (p *Placer) UpdateLoad(id fleet.EndpointID, report LoadReport) {
 	if state := p.endpoints[id]; state != nil {
 		state.applyReport(report)
+		p.reportsSpeed[state.Service] = p.reportsSpeed[state.Service] || report.Slowdown > 0
 	}
 }
 
@@ -190,10 +200,16 @@
 		return ticket
 	}
 	ahead, admitted := p.admits(now, ticket, index)
-	if !admitted {
+	victim := p.turnAway(now, ticket)
+	if !admitted || victim == ticket {
 		p.reject(now, ticket, core.ReasonOverloaded, ahead)
 		return ticket
 	}
+	if victim != nil {
+		p.displace(now, victim)
+		index = p.position(ticket)
+		ahead = countOf(p.queue[:index], request.Service)
+	}
 	ticket.decision.Ahead, ticket.decision.StartsIn = ahead, p.startsIn(now, &request, ahead)
 	p.queue = slices.Insert(p.queue, index, ticket)
 	return ticket
@@ -212,15 +228,16 @@
 // Pump evaluates the waiting requests again and returns those that were placed or
 // rejected.
 func (p *Placer) Pump(now boottime.Instant) []*Ticket {
+	decided := p.displaced
+	p.displaced = nil
 	if len(p.queue) == 0 {
-		return nil
+		return decided
 	}
 	p.nextPass()
 	for _, ticket := range p.queue {
 		ticket.latestStart = p.latestStart(&ticket.Request)
 	}
 	slices.SortStableFunc(p.queue, compare)
-	var decided []*Ticket
 	waiting := p.queue[:0]
 	for _, ticket := range p.queue {
 		p.decide(now, ticket, waiting)
@@ -263,6 +280,7 @@
 	}
 	ticket.decision.ViewAge, ticket.decision.Unregistered = now.Sub(p.view.ConfirmedAt), e.Unregistered
 	p.recordLimits(now, ticket, e)
+	p.recordStart(now, ticket)
 	ticket.endpoint, ticket.sentAt = e, now
 	e.open[ticket] = struct{}{}
 	e.sentSince++
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -193,6 +193,9 @@
 	}
 	interval := time.Duration(float64(time.Second) / all)
 	maxWait := ticket.latestStart.Sub(ticket.arrived)
+	if ticket.decision.StandingFor > 0 {
+		maxWait = 0 // callers come back once the queue has drained
+	}
 	at := now.Add(max(startsIn-maxWait, interval))
 	at = max(at, p.returns[request.Service].Add(interval))
 	if at > now.Add(honored) {
--- /dev/null
+++ b/placement/rank_test.go
@@ -0,0 +1,63 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/placement"
+)
+
+// rankedPlacer returns a placer with all slots of an engine in its region and none of one in
+// another region.
+func rankedPlacer(contention bool) *placement.Placer {
+	p := placement.New(placement.Config{Zone: "z0", Region: "r0", VersionSwitch: 8 * time.Second, Contention: contention, Random: rand.New(rand.NewPCG(1, 2))})
+	view := fleetView(2, 1)
+	backend := view.Deployment.Services[engines]
+	backend.ColdRate = 0
+	view.Deployment.Services[engines] = backend
+	p.SetView(start, view)
+	grant(p, start, "10.0.0.1:80", slots)
+	grant(p, start, "10.0.0.2:80", 0)
+	return p
+}
+
+// Guards against a gateway that keeps a free slot for a waiting call of a low rank while
+// another gateway turns away one of a high rank.
+func TestASlotIsNotLentToACallOfAHigherRankThanTheOneThatWaits(t *testing.T) {
+	for _, c := range []struct {
+		contention bool
+		rank       int
+		lent       bool
+	}{{true, 0, true}, {true, 2, false}, {true, 3, false}, {false, 0, false}} {
+		g := NewWithT(t)
+		p := rankedPlacer(c.contention)
+		waiting := call(start)
+		waiting.Priority, waiting.Homes = 2, [][]core.RegionID{{"r1"}}
+		g.Expect(p.Submit(start, waiting).Decision().Verdict).To(Equal(placement.Wait))
+		request := call(start)
+		request.Priority = c.rank
+		g.Expect(p.Lend(start, request) != nil).To(Equal(c.lent), "%+v", c)
+	}
+}
+
+// Guards against agents that divide slots without knowing which rank the demand has.
+func TestTheDemandOfAGatewayLacksItsRanks(t *testing.T) {
+	g := NewWithT(t)
+	p := rankedPlacer(true)
+	for range 8 {
+		urgent, patient := call(start), call(start)
+		patient.Priority = 2
+		p.Submit(start, urgent)
+		p.Submit(start, patient)
+		p.Submit(start, patient)
+	}
+	demand := p.SlotDemand(start)["10.0.0.1:80"]
+	g.Expect(demand.Ranked[0]).To(BeNumerically(">", 0))
+	g.Expect(demand.Ranked[2]).To(BeNumerically("~", 2*demand.Ranked[0], demand.Ranked[0]*2))
+	g.Expect(demand.Ranked[0] + demand.Ranked[2]).To(BeNumerically("~", demand.Calls, 0.01))
+	g.Expect(rankedPlacer(false).SlotDemand(start)["10.0.0.1:80"].Ranked).To(BeNil())
+}
--- a/placement/request.go
+++ b/placement/request.go
@@ -27,6 +27,8 @@
 	Homes [][]core.RegionID
 	// PromptTokens and OutputTokens are the token counts of a model call; 0 if unknown.
 	PromptTokens, OutputTokens int
+	// Team is the caller's team; empty if the call needs no key.
+	Team core.TeamID
 	// Priority is the rank of the call, 0 being the highest.
 	Priority int
 	// FirstEventBy is when the caller leaves unless it gets an event before; 0 if it waits for
@@ -100,6 +102,9 @@
 	// is how long a rejected call could have gone on waiting.
 	Ahead              int
 	StartsIn, TimeLeft time.Duration
+	// StandingFor is for how long the queue had not been short when the call was rejected so
+	// that it drains, 0 if it was not.
+	StandingFor time.Duration
 }
 
 // Ticket tracks a request from Submit until it has ended.
--- /dev/null
+++ b/placement/standing.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/core"
+)
+
+const (
+	// minDrainInterval and maxDrainInterval bound the time after which a queue that was never
+	// short counts as standing.
+	minDrainInterval = 300 * time.Millisecond
+	maxDrainInterval = 2 * time.Second
+	// successionIntervals is for how many intervals after the end of an episode a further one
+	// counts as its successor.
+	successionIntervals = 4
+)
+
+// queueKey identifies the waiting calls of one service and rank. Ranks are kept apart, since
+// calls of a higher rank start without a wait while those of a lower one stand.
+type queueKey struct {
+	service core.ServiceID
+	rank    int
+}
+
+// standingQueue tracks whether the waiting calls of one service and rank are a standing queue:
+// one that is never short, so that every call waits and none is answered that would not be
+// answered otherwise.
+//
+// Load pattern: endpoints are lost for some seconds and return, or a burst ends, and arrivals
+// are at the capacity from then on. The queue that has grown meanwhile stays as long as
+// arrivals equal departures: each caller waits for the whole queue. Once the queue has run
+// empty, the same number of callers is answered with hardly any wait.
+type standingQueue struct {
+	// shortAt is when a call last found the queue empty or started after a short wait.
+	shortAt boottime.Instant
+	// draining is set from when the queue counts as standing until it is short again. Calls
+	// that would wait are rejected meanwhile.
+	draining bool
+	// episodes is the number of episodes in succession, endedAt when the last one ended.
+	episodes int
+	endedAt  boottime.Instant
+}
+
+// short records that the queue is short, which ends an episode.
+func (q *standingQueue) short(now boottime.Instant) {
+	if q.draining {
+		q.draining, q.endedAt = false, now
+	}
+	q.shortAt = now
+}
+
+// update reports whether the queue drains, given the interval after which a queue counts as
+// standing. Under lasting overload the queue grows again after each episode; the interval
+// becomes shorter with each, so that the wait does not grow to its full length every time.
+func (q *standingQueue) update(now boottime.Instant, interval time.Duration) bool {
+	if q.draining {
+		return true
+	}
+	if now.Sub(q.endedAt) > successionIntervals*interval {
+		q.episodes = 0
+	}
+	if now.Sub(q.shortAt) < time.Duration(float64(interval)/math.Sqrt(float64(q.episodes+1))) {
+		return false
+	}
+	q.draining = true
+	q.episodes++
+	return true
+}
+
+// drainsQueues reports whether standing queues of a service are drained: where calls compete by
+// rank, and where endpoints share their machines, so that their capacity varies.
+func (p *Placer) drainsQueues(service core.ServiceID) bool {
+	return p.config.Contention || p.reportsSpeed[service]
+}
+
+func (p *Placer) queueOf(now boottime.Instant, request *Request) *standingQueue {
+	key := queueKey{request.Service, request.Priority}
+	q := p.standing[key]
+	if q == nil {
+		q = &standingQueue{shortAt: now}
+		p.standing[key] = q
+	}
+	return q
+}
+
+// shortWait is the wait of a call that starts as soon as a slot is free: until the next pass of
+// an engine, and the time for trips and evaluation.
+func (p *Placer) shortWait(service core.ServiceID) time.Duration {
+	for _, e := range p.byService[service] {
+		if e.profile != nil {
+			return travelTime + e.passTime(e.Slots)
+		}
+	}
+	return travelTime
+}
+
+// drainInterval is the mean duration of a call: slots turn over once in that time, so that a
+// burst which free slots absorb is no standing queue.
+func (p *Placer) drainInterval(service core.ServiceID) time.Duration {
+	return min(max(meanCallTime(p.byService[service]), minDrainInterval), maxDrainInterval)
+}
+
+// recordStart records that a call starts.
+func (p *Placer) recordStart(now boottime.Instant, ticket *Ticket) {
+	if p.drainsQueues(ticket.Request.Service) && now.Sub(ticket.arrived) <= p.shortWait(ticket.Request.Service) {
+		p.queueOf(now, &ticket.Request).short(now)
+	}
+}
+
+// turnAway returns the call that is rejected so that a standing queue drains, nil if none is: a
+// new call that would have to wait or, if another team has more calls waiting than its own, the
+// last of those. A call that has been sent or answered in part is not rejected.
+func (p *Placer) turnAway(now boottime.Instant, ticket *Ticket) *Ticket {
+	request := &ticket.Request
+	if !p.drainsQueues(request.Service) {
+		return nil
+	}
+	q := p.queueOf(now, request)
+	byTeam := map[core.TeamID]int{}
+	waiting := 0
+	for _, t := range p.queue {
+		if t.Request.Service == request.Service && t.Request.Priority == request.Priority {
+			waiting++
+			byTeam[t.Request.Team]++
+		}
+	}
+	if waiting == 0 {
+		q.short(now)
+	}
+	if !q.update(now, p.drainInterval(request.Service)) || !request.mayBeTurnedAway() {
+		return nil
+	}
+	ticket.decision.StandingFor = now.Sub(q.shortAt)
+	victim, most := ticket, byTeam[request.Team]+1
+	for _, t := range p.queue {
+		if t.Request.Service == request.Service && t.Request.Priority == request.Priority && t.Request.mayBeTurnedAway() && byTeam[t.Request.Team] > most {
+			victim = t
+		}
+	}
+	victim.decision.StandingFor = now.Sub(q.shortAt)
+	return victim
+}
+
+// mayBeTurnedAway reports whether a call has neither been sent nor answered in part.
+func (r *Request) mayBeTurnedAway() bool { return !r.Continues && len(r.Tried) == 0 }
+
+// displace rejects a waiting call in favor of one that has just arrived. Pump returns it.
+func (p *Placer) displace(now boottime.Instant, ticket *Ticket) {
+	p.Cancel(ticket)
+	ticket.decision.Waited = now.Sub(ticket.arrived)
+	p.reject(now, ticket, core.ReasonOverloaded, countOf(p.queue, ticket.Request.Service))
+	p.displaced = append(p.displaced, ticket)
+}
--- a/slotshare/slotshare.go
+++ b/slotshare/slotshare.go
@@ -36,10 +36,34 @@
 	// Calls is the number of calls that the gateway would run at the endpoint if it had
 	// the slots.
 	Calls float64
+	// Ranked are the calls by rank, the highest first; nil if the gateway does not tell them.
+	// All its calls then have the lowest rank.
+	Ranked []float64
 	// Open is the number of calls that it runs there now.
 	Open int
 }
 
+// Ranks is the number of ranks that are told apart.
+const Ranks = 10
+
+// Rank returns the index of a priority among the ranks.
+func Rank(priority int) int { return min(max(priority, 0), Ranks-1) }
+
+// byRank returns the demand by rank, of at least minDemand in total.
+func (d Demand) byRank() [Ranks]float64 {
+	var ranked [Ranks]float64
+	total := 0.0
+	for rank, calls := range d.Ranked {
+		ranked[Rank(rank)] += calls
+		total += calls
+	}
+	if d.Ranked == nil {
+		ranked[Ranks-1], total = d.Calls, d.Calls
+	}
+	ranked[Ranks-1] += max(minDemand-total, 0)
+	return ranked
+}
+
 // Divider divides the slots of one endpoint. It is not safe for concurrent use.
 type Divider struct {
 	// offset differs between endpoints, so that fractions of a slot go to different
@@ -53,7 +77,8 @@
 type share struct {
 	demand Demand
 	at     boottime.Instant
-	weight float64
+	// weights are the calls by rank by which slots are divided.
+	weights [Ranks]float64
 	// target is the number of slots intended for the gateway, granted the number it may
 	// fill now.
 	target, granted int
@@ -105,21 +130,39 @@
 	return d.grant() || changed
 }
 
-// setTargets assigns slots in proportion to the weights, rounded so that the targets
-// add up to the endpoint's slots.
+// setTargets assigns slots to the demand of the highest rank of all gateways, then to the
+// next one, and what is left in proportion to the whole demand. Targets are rounded so that
+// they add up to the endpoint's slots.
+//
+// Load pattern: calls of all ranks exceed the endpoint's slots, and gateways have different
+// parts of each rank. In proportion to all calls, a gateway with calls of low rank keeps
+// slots while another one rejects calls of a high rank.
 func (d *Divider) setTargets() {
-	total := 0.0
+	var totals [Ranks]float64
+	all := 0.0
 	for _, s := range d.gateways {
-		calls := max(s.demand.Calls, minDemand)
-		if s.weight == 0 || calls > s.weight*hysteresis || calls < s.weight/hysteresis {
-			s.weight = calls
+		for rank, calls := range s.demand.byRank() {
+			if weight := s.weights[rank]; calls > weight*hysteresis || calls < weight/hysteresis {
+				s.weights[rank] = calls
+			}
+			totals[rank] += s.weights[rank]
+			all += s.weights[rank]
+		}
+	}
+	var filled [Ranks]float64
+	left := float64(d.slots)
+	for rank, total := range totals {
+		if total > 0 {
+			filled[rank] = min(left/total, 1)
+			left -= filled[rank] * total
 		}
-		total += s.weight
 	}
 	cumulative, begin := 0.0, math.Floor(d.offset)
 	for _, name := range d.names() {
 		s := d.gateways[name]
-		cumulative += s.weight / total * float64(d.slots)
+		for rank, weight := range s.weights {
+			cumulative += weight * (filled[rank] + left/all)
+		}
 		end := math.Floor(cumulative + d.offset)
 		s.target = int(end - begin)
 		begin = end
