answers: a status outside of 100 to 599 is no answer

Cause: HeadScanner, which checks the bytes of each answer for forward and for all clients over net/http, rejected codes below 100 but no code above 599. A gateway passed 600 to 999 on, on routes of each kind (on those that may be repeated, if the last attempt ended so). With X-Not-Executed such an answer counted as a rejection: a request of a non-idempotent route was sent to another endpoint, and the caller got 503. The scanner also read 1000 as 100 and the rest of the answer as the next head; net/http rejected these.

Change: the scanner rejects codes above 599, and any byte but a space or the end of the line after the third digit. The attempt fails as after any other malformed head, before headers are classified: 502, or another endpoint's answer where the request may be repeated. 101 remains rejected.

--- a/adapters/service/broken_test.go
+++ b/adapters/service/broken_test.go
@@ -125,6 +125,14 @@
 		"000 before another answer": "HTTP/1.1 000 Error\r\n\r\n" + wholeAnswer,
 		"000 behind an interim one": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Error\r\n\r\n" + wholeAnswer,
 		"+20":                       "HTTP/1.1 +20 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"00":                        "HTTP/1.1 00 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"099":                       "HTTP/1.1 099 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"600":                       "HTTP/1.1 600 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"600 without a length":      "HTTP/1.1 600 Error\r\n\r\nbody",
+		"799":                       "HTTP/1.1 799 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"999":                       "HTTP/1.1 999 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"1000":                      "HTTP/1.1 1000 Error\r\nContent-Length: 4\r\n\r\nbody",
+		"1000 before another one":   "HTTP/1.1 1000 Error\r\n\r\n" + wholeAnswer,
 		"101":                       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + wholeAnswer,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -136,6 +144,17 @@
 	}
 }
 
+// The check of the status must not reject valid ones.
+func TestAnAnswerWithAValidStatusIsTaken(t *testing.T) {
+	for status, body := range map[int]string{http.StatusOK: "body", http.StatusNoContent: "", http.StatusNotModified: "", 599: "body"} {
+		g := NewWithT(t)
+		answer, err := answerOf(t, fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Status).To(Equal(status))
+		g.Expect(string(answer.Body)).To(Equal(body))
+	}
+}
+
 func TestInterimAnswersArePassedOver(t *testing.T) {
 	g := NewWithT(t)
 	answer, err := answerOf(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+wholeAnswer)
--- a/answers/head.go
+++ b/answers/head.go
@@ -13,10 +13,10 @@
 var ErrMalformedHead = errors.New("malformed head")
 
 // HeadScanner checks the head of an answer, and the informational answers before it, as their
-// bytes arrive. It rejects what net/http accepts: invalid status codes, whitespace in field names,
-// folded lines, which can't be told from field names that begin with whitespace, and transfer
-// codings in versions before HTTP/1.1. It is not a parser: it accepts heads that net/http rejects.
-// The zero value is ready for the first byte.
+// bytes arrive. It rejects what net/http accepts: status codes outside of 100 to 599 and 101,
+// whitespace in field names, folded lines, which can't be told from field names that begin with
+// whitespace, and transfer codings in versions before HTTP/1.1. It is not a parser: it accepts
+// heads that net/http rejects. The zero value is ready for the first byte.
 type HeadScanner struct {
 	state scanState
 	// lines is the number of complete lines before the present one.
@@ -37,6 +37,7 @@
 	inVersion scanState = iota
 	beforeStatus
 	inStatus
+	afterStatus
 	inLine
 	atLineStart
 	afterReturn
@@ -47,6 +48,8 @@
 const (
 	// statusDigits is the number of digits of a status code.
 	statusDigits = 3
+	// maxStatus is the highest valid status code, see RFC 9110, section 15.
+	maxStatus = 599
 	// currentVersion and codingField are in lower case.
 	currentVersion = "http/1.1"
 	codingField    = "transfer-encoding"
@@ -73,10 +76,11 @@
 		return s.nextOfVersion(b)
 	case beforeStatus, inStatus:
 		return s.nextOfStatus(b)
+	case afterStatus:
+		return s.endOfStatus(b)
 	case inLine:
 		if b == '\n' {
-			s.state = atLineStart
-			s.lines++
+			s.endLine()
 		}
 	case atLineStart:
 		return s.firstOfLine(b)
@@ -115,14 +119,33 @@
 	if s.digits++; s.digits < statusDigits {
 		return ""
 	}
-	s.state = inLine
+	s.state = afterStatus
 	// No request asks for an upgrade, so 101 is as invalid as a status code below 100.
-	if s.status < http.StatusContinue || s.status == http.StatusSwitchingProtocols {
+	if s.status < http.StatusContinue || s.status > maxStatus || s.status == http.StatusSwitchingProtocols {
 		return fmt.Sprintf("status code %03d", s.status)
 	}
 	return ""
 }
 
+// endOfStatus checks the byte after the last digit of the status code. Without it, 1000 would be
+// taken for 100, and the rest of the answer for the next head.
+func (s *HeadScanner) endOfStatus(b byte) (problem string) {
+	switch b {
+	case ' ', '\r':
+		s.state = inLine
+	case '\n':
+		s.endLine()
+	default:
+		return "invalid byte after the status code"
+	}
+	return ""
+}
+
+func (s *HeadScanner) endLine() {
+	s.state = atLineStart
+	s.lines++
+}
+
 func (s *HeadScanner) firstOfLine(b byte) (problem string) {
 	switch b {
 	case '\n':
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusContinue || response.StatusCode > 599 || response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, nil, answers.ErrMalformedHead
 		}
 		if response.StatusCode >= http.StatusOK {
@@ -133,6 +133,10 @@
 	headOf(maxHeadBytes) + "body",
 	"HTTP/1.1 000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 Error\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
+	"HTTP/1.1 600 Error\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 599 Error\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n",
+	"HTTP/1.1 1000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nContent-Length : 30\r\n\r\nbody",
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniaseam/zinniaseam/answers"
+	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/standin/broken"
 )
@@ -59,6 +62,54 @@
 	}
 }
 
+// notRun is plain for an endpoint that says in each answer that the request has not run.
+type notRun struct{ plain }
+
+func (notRun) Classify(a forward.Attempt, response *http.Response) forward.Classification {
+	classification := plain{}.Classify(a, response)
+	classification.NotRun = true
+	return classification
+}
+
+// An answer with an invalid status says nothing about its request: neither its body nor its headers
+// may be used, also on a kept connection.
+func TestAnAnswerWithAnInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "00", "099", "600", "799", "999", "1000", "2000"} {
+		for name, dialect := range map[string]forward.Dialect{"no promise": plain{}, "not run": notRun{}} {
+			for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+				for _, kept := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, after %.12q, kept %t", status, name, before, kept), func(t *testing.T) {
+						g := NewWithT(t)
+						e := serve(t, func(number int, id string, conn net.Conn) bool {
+							if kept && number == 0 {
+								writeAnswer(conn, id, "body")
+								return true
+							}
+							write(conn, before+"HTTP/1.1 "+status+" Error\r\n"+headEnd)
+							return true
+						})
+						ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+						defer cancel()
+						pool := forward.NewPool()
+						if kept {
+							_, err := do(ctx, pool, e, "first", true)
+							g.Expect(err).NotTo(HaveOccurred())
+						}
+						received := 0
+						attempt := forward.Attempt{Call: &forward.Call{ID: "r"}, Endpoint: &fleet.Endpoint{Address: e.address}, Received: func(forward.Classification) { received++ }}
+						answer, err := pool.Do(ctx, dialect, attempt, true)
+						g.Expect(err).To(MatchError(forward.ErrNoAnswer), "%+v", answer)
+						g.Expect(err).To(MatchError(answers.ErrMalformedHead))
+						g.Expect(err).NotTo(MatchError(forward.ErrNotSent))
+						g.Expect(received).To(BeZero())
+						g.Expect(e.dials.Load()).To(BeEquivalentTo(1))
+					})
+				}
+			}
+		}
+	}
+}
+
 func TestInterimAnswersArePassedOver(t *testing.T) {
 	for name, text := range map[string]string{
 		"no interim answer":   wholeAnswer,
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -68,7 +68,7 @@
 	start := strings.Join(append([]string{status}, others...), "\r\n") + "\r\n"
 	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	half := body[:len(body)/2]
-	return map[string]string{
+	heads := map[string]string{
 		"status 000":                     "HTTP/1.1 000 Error\r\n" + fields + "\r\n\r\n" + body,
 		"status 000 without a length":    "HTTP/1.1 000 Error\r\n\r\n" + body,
 		"status 000, another answer":     "HTTP/1.1 000 Error\r\n\r\n" + whole,
@@ -80,6 +80,11 @@
 		"coding in HTTP/1.0":             strings.Replace(start, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunked,
 		"other field, space within":      status + "\r\nX y: z\r\n" + fields + "\r\n\r\n" + body,
 	}
+	for _, code := range []string{"00", "099", "600", "799", "999", "1000", "2000"} {
+		heads["status "+code] = "HTTP/1.1 " + code + " Error\r\n" + fields + "\r\n\r\n" + body
+		heads["status "+code+", another answer"] = "HTTP/1.1 " + code + " Error\r\n\r\n" + whole
+	}
+	return heads
 }
 
 // CutHeads returns the prefixes of an answer that end within its head.
