placement: keep calls off links whose delay leaves them no time

Cause: calls wait for 0.9 s on a filled link between regions, longer than their callers, and reach engines over 0.5 s after their callers left. Change: the newest round trip to any agent of another region applies to all endpoints of that region, and 1 s without a sample counts as a delay if an agent there has leased call starts. A call is not placed if the path delay plus the predicted first byte ends after its caller leaves; MayStart checks it again. The delay is added to the prediction when endpoints are compared. Delays up to 30 ms count as 0, since predictions allow for them. "Attempt ended." and "Attempt failed." have the delay as pathMs.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -67,7 +67,7 @@
 	}
 	g.log.Info("Attempt ended.", "request", s.admitted.call.ID, "route", s.admitted.route.Name, "endpoint", endpoint.ID,
 		"status", answer.Status, "ending", outcome, "events", s.events, "timeoutMs", s.admitted.call.Timeout.Milliseconds(), "load", decision.Load, "loadAgeMs", decision.LoadAge.Milliseconds(),
-		"expectedMs", decision.Expected.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "startsInMs", decision.StartsIn.Milliseconds(), "ahead", decision.Ahead, "ms", g.now().Sub(sent).Milliseconds(),
+		"expectedMs", decision.Expected.Milliseconds(), "pathMs", decision.PathDelay.Milliseconds(), "waitedMs", decision.Waited.Milliseconds(), "startsInMs", decision.StartsIn.Milliseconds(), "ahead", decision.Ahead, "ms", g.now().Sub(sent).Milliseconds(),
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "ranOn", answer.Classification.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision),
@@ -114,7 +114,7 @@
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent, "outcome", outcome,
 		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", s.admitted.call.SharedParts,
-		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(),
+		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(), "pathMs", decision.PathDelay.Milliseconds(),
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision), "err", err)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -31,7 +31,7 @@
 			tier = &preferred
 		}
 		if facts.open && !e.prefillLimitReached(now, request) && !p.waitedFor(now, e, ahead) {
-			tier.consider(e, e.predictFirstByte(now, request)+p.distancePenalty(e), p.config.Random)
+			tier.consider(e, e.predictFirstByte(now, request)+p.distancePenalty(e)+e.callDelay(now), p.config.Random)
 		}
 	}
 	if healthy > 0 {
@@ -78,7 +78,7 @@
 
 // runs reports whether a request may be placed on an endpoint that starts calls.
 func (e *endpointState) runs(now boottime.Instant, request *Request) bool {
-	if slices.Contains(request.Tried, e.ID) || !e.inHomes(request) {
+	if slices.Contains(request.Tried, e.ID) || !e.inHomes(request) || e.tooFar(now, request) {
 		return false
 	}
 	return e.profile == nil || !e.closesDuring(now, request)
@@ -108,7 +108,7 @@
 	}
 	// An endpoint that has started again has another state under the same ID.
 	_, registered := p.view.Endpoints[e.ID]
-	return registered && p.endpoints[e.ID] == e && e.inHomes(&ticket.Request) && p.startsCalls(now, e) && ticket.maySend(now)
+	return registered && p.endpoints[e.ID] == e && e.inHomes(&ticket.Request) && p.startsCalls(now, e) && !ticket.sentTooLate(now) && ticket.maySend(now)
 }
 
 // servable reports whether an engine has all layers of a version on which calls may
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -61,9 +61,11 @@
 	sentSince, endedSince int
 	health                health
 	// status is the newest status from the endpoint's agent, path the newest measured
-	// round trip to it.
-	status EngineStatus
-	path   PathSample
+	// round trip to it. regionPath is the newest one to any agent of its region, nil for an
+	// endpoint of the own region.
+	status     EngineStatus
+	path       receivedSample
+	regionPath *regionPath
 	// callTime is the EWMA of the duration of a call, 0 before the first call ended.
 	callTime time.Duration
 	// closedUntil is when the endpoint may be tried again after it rejected a call.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -78,6 +78,8 @@
 	gateways int
 	// declared are the declared versions of each model.
 	declared map[string]*rollout.Declarations
+	// regionPaths are the newest measured round trips to each other region.
+	regionPaths map[core.RegionID]*regionPath
 	// arrivals are the arrival rates of each service by priority, slowest its longest recent
 	// time to first byte.
 	arrivals map[core.ServiceID]map[int]*arrivalRate
@@ -94,7 +96,7 @@
 		config: config, view: fleet.NewView(), endpoints: map[fleet.EndpointID]*endpointState{},
 		byService: map[core.ServiceID][]*endpointState{}, returns: map[core.ServiceID]boottime.Instant{}, capacities: map[core.ServiceID]capacity{}, senders: map[string]*startquota.Sender{}, declared: map[string]*rollout.Declarations{},
 		arrivals: map[core.ServiceID]map[int]*arrivalRate{}, slowest: map[core.ServiceID]*slowest{},
-		notices: notices.NewBook(),
+		notices: notices.NewBook(), regionPaths: map[core.RegionID]*regionPath{},
 	}
 }
 
@@ -132,6 +134,7 @@
 
 func (p *Placer) refresh(state *endpointState, endpoint *fleet.Endpoint) {
 	state.Endpoint = *endpoint
+	p.setRegionPath(state)
 	state.said = p.notices.Lookup(subjectOf(&state.Endpoint))
 	if p.view.Deployment == nil {
 		return
@@ -153,7 +156,7 @@
 		if state.Address != status.Address {
 			continue
 		}
-		state.addPathSample(status.Path)
+		p.addPathSample(state, &status)
 		if status.Unreachable {
 			if !state.status.Unreachable {
 				lost = append(lost, state.movable()...)
@@ -257,6 +260,7 @@
 	endpoint := e.Endpoint
 	ticket.decision.Verdict, ticket.decision.Endpoint = Place, &endpoint
 	ticket.decision.Expected, ticket.decision.Load, ticket.decision.LoadAge = expected, calls, age
+	ticket.decision.PathDelay = e.callDelay(now)
 	if e.profile != nil {
 		ticket.decision.Weights = e.version(now)
 		ticket.decision.NewestWeights, ticket.decision.SupersededFor = p.supersededFor(now, e, ticket.decision.Weights)
--- a/placement/request.go
+++ b/placement/request.go
@@ -71,6 +71,9 @@
 	RetryAfter time.Duration
 	// Expected is the predicted time to the first byte of the answer.
 	Expected time.Duration
+	// PathDelay is the part of Expected for which the call and its answer are under way, 0 if
+	// that is no longer than usual.
+	PathDelay time.Duration
 	// Load is the estimated number of calls at the endpoint, LoadAge the age of the
 	// report it is based on, negative without one.
 	Load    int
