metastore: tests of deletions and of a failed read during a burst

Change: entries that are deleted while content is read are deleted here too; a failed read is recovered by a watch.

--- a/metastore/burst_test.go
+++ b/metastore/burst_test.go
@@ -158,3 +158,43 @@
 	}
 	return newest
 }
+
+// changeSink records the changes that it gets.
+type changeSink struct {
+	sinkLog
+	changes []metastore.Change
+}
+
+func (s *changeSink) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, recovered bool) {
+	s.sinkLog.Apply(changes, revision, confirmed, recovered)
+	s.changes = append(s.changes, changes...)
+}
+
+// Guards against entries that stay after they were deleted while the content is read instead of
+// the history, and against a failed read in a burst that delays the recovery or loses changes.
+func TestReadsInABurstApplyDeletionsAndAFailedOneIsRecoveredByAWatch(t *testing.T) {
+	items := func(revision uint64, items ...metastore.Change) func() ([]metastore.Change, uint64, error) {
+		return func() ([]metastore.Change, uint64, error) { return items, revision, nil }
+	}
+	entry, other := metastore.Change{Key: "endpoint", Value: []byte("e"), Revision: 1}, metastore.Change{Key: "other", Value: []byte("o"), Revision: 2}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	store := &scriptedStore{end: cancel, steps: []func() ([]metastore.Change, uint64, error){
+		items(2, entry, other),
+		items(4, declarationAt(3), declarationAt(4)),
+		items(6, entry, declarationAt(5)),
+		failure(metastore.ErrUnavailable),
+		items(7),
+		items(8),
+	}}
+	sink := &changeSink{}
+	follower := metastore.Follower{Store: store, Sink: sink, Now: boottime.Now}
+	g := NewWithT(t)
+	g.Expect(follower.Run(ctx)).To(MatchError(context.Canceled))
+	g.Expect(store.calls).To(Equal([]string{"read", "watch", "read", "read", "watch", "watch", "watch"}))
+	g.Expect(sink.log).To(Equal([]string{"replace", "apply", "apply", "disconnected", "recovered", "apply"}))
+	g.Expect(sink.changes).To(HaveLen(4))
+	g.Expect(sink.changes[2].Revision).To(BeEquivalentTo(5))
+	g.Expect(sink.changes[3].Key).To(Equal("other"))
+	g.Expect(sink.changes[3].Deleted).To(BeTrue())
+}
