--- a/placement/placer.go
+++ b/placement/placer.go
@@ -285,7 +285,6 @@
 	}
 	ticket.decision.ViewAge, ticket.decision.Unregistered = now.Sub(p.view.ConfirmedAt), e.Unregistered
 	p.recordLimits(now, ticket, e)
-	p.recordStart(now, ticket)
 	ticket.endpoint, ticket.sentAt = e, now
 	e.open[ticket] = struct{}{}
 	e.sentSince++
--- a/placement/standing.go
+++ b/placement/standing.go
@@ -34,7 +34,7 @@
 // arrivals equal departures: each caller waits for the whole queue. Once the queue has run
 // empty, the same number of callers is answered with hardly any wait.
 type standingQueue struct {
-	// shortAt is when a call last found the queue empty or started after a short wait.
+	// shortAt is when a new call last found the queue empty.
 	shortAt boottime.Instant
 	// draining is set from when the queue counts as standing until it is short again. Calls
 	// that would wait are rejected meanwhile.
@@ -86,30 +86,12 @@
 	return q
 }
 
-// shortWait is the wait of a call that starts as soon as a slot is free: until the next pass of
-// an engine, and the time for trips and evaluation.
-func (p *Placer) shortWait(service core.ServiceID) time.Duration {
-	for _, e := range p.byService[service] {
-		if e.profile != nil {
-			return travelTime + e.passTime(e.Slots)
-		}
-	}
-	return travelTime
-}
-
 // drainInterval is the mean duration of a call: slots turn over once in that time, so that a
 // burst which free slots absorb is no standing queue.
 func (p *Placer) drainInterval(service core.ServiceID) time.Duration {
 	return min(max(meanCallTime(p.byService[service]), minDrainInterval), maxDrainInterval)
 }
 
-// recordStart records that a call starts.
-func (p *Placer) recordStart(now boottime.Instant, ticket *Ticket) {
-	if p.drainsQueues(ticket.Request.Service) && now.Sub(ticket.arrived) <= p.shortWait(ticket.Request.Service) {
-		p.queueOf(now, &ticket.Request).short(now)
-	}
-}
-
 // turnAway returns the call that is rejected so that a standing queue drains, nil if none is: a
 // new call that would have to wait or, if another team has more calls waiting than its own, the
 // last of those. A call that has been sent or answered in part is not rejected.
@@ -122,9 +104,12 @@
 	byTeam := map[core.TeamID]int{}
 	waiting := 0
 	for _, t := range p.queue {
-		if t.Request.Service == request.Service && t.Request.Priority == request.Priority {
+		if t.Request.Service != request.Service || t.Request.Priority != request.Priority {
+			continue
+		}
+		byTeam[t.Request.Team]++
+		if !t.Request.restricted() { // others may wait for a region without capacity
 			waiting++
-			byTeam[t.Request.Team]++
 		}
 	}
 	if waiting == 0 {
