gateway: tell agents whether the slots of a started engine are limited

Cause: pacing must be active only in deployments with the policy pressure, and agents do not read the deployment's policies. Change: platform.Settings.Contention (the setting policies lists pressure), placement.Config.Contention, and FleetNews.paced, which gateways set from it. Messages without the field leave it unset.

--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -45,7 +45,7 @@
 	return placement.Config{
 		Name: string(s.VM),
 		Zone: s.Zone, Region: s.Region, ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
-		VersionSwitch: s.Bounds.VersionSwitch, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		VersionSwitch: s.Bounds.VersionSwitch, Contention: s.Contention, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -269,7 +269,7 @@
 	profile := view.Deployment.Services[service].Engine
 	update := &peerpb.FleetNews{Revision: view.Deployment.Revision, Layers: uint32(profile.Layers), Chunks: uint32(profile.Chunks), ChunkBytes: uint64(profile.ChunkBytes), Slots: uint32(profile.BatchSlots)}
 	update.Model, update.Version = view.TargetVersion(service, profile)
-	update.MaxStarts = uint32(a.scheduler.maxStarts(service))
+	update.MaxStarts, update.Paced = uint32(a.scheduler.maxStarts(service)), a.scheduler.paced()
 	for _, backend := range view.Deployment.Services {
 		if backend.Origin != "" {
 			update.Origin, update.OriginRegion = backend.Origin, string(a.regions[backend.OriginZone])
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -66,6 +66,14 @@
 	return s.placer.MaxStarts(service)
 }
 
+// paced reports whether agents limit the slots that they divide after their engine has
+// started or recovered.
+func (s *scheduler) paced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Paced()
+}
+
 // startPermit returns the permit by the lease in a status. It ends LeaseTime after this
 // process sent the message that the agent had received last, so that the agent never gives a
 // lease away before its end. An engine that has never responded, or that responds and has no
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -25,6 +25,8 @@
 	// VersionSwitch is how long older weights may start work after newer ones were
 	// declared.
 	VersionSwitch time.Duration
+	// Contention is set if requests of several ranks compete for the endpoints.
+	Contention bool
 	// Random is the source of randomness.
 	Random *rand.Rand
 }
--- a/placement/starts.go
+++ b/placement/starts.go
@@ -23,6 +23,10 @@
 	return max(int(backend.ColdRate*c.ColdOver+c.ColdSlack), 1)
 }
 
+// Paced reports whether agents limit the slots that they divide after their engine has
+// started or recovered.
+func (p *Placer) Paced() bool { return p.config.Contention }
+
 // MaxStarts returns how many calls an endpoint of a service may receive within a second, 0
 // if that is not limited.
 func (p *Placer) MaxStarts(service core.ServiceID) int {
