agent: limit the slots that are divided after the engine has started or recovered

Cause: the agent divides all declared slots from the first message on, so that an engine that has just started or recovered is filled from all gateways at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/metrics"
+	"github.com/zinniaseam/zinniaseam/pacing"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/quarantine"
@@ -130,6 +131,8 @@
 	// receive within a second.
 	divider *slotshare.Divider
 	quota   *startquota.Quota
+	// pace limits the slots that divider divides.
+	pace pace
 	// revision and version are those of the declaration from which the slots and the limit
 	// of call starts were taken.
 	revision, version int64
@@ -154,6 +157,7 @@
 		config: config, engine: engine, log: logger.WithPrefix("agent"), pool: pool,
 		status: &peerpb.EngineNews{Engine: config.EngineAddress, Unreachable: true}, changed: make(chan struct{}),
 		divider: slotshare.NewDivider(config.EngineAddress), quota: startquota.New(boottime.Now()), followers: map[*follower]struct{}{},
+		pace:     pace{controller: pacing.New(boottime.Now())},
 		declared: map[string]*rollout.Declarations{}, promptParts: quarantine.New(quarantine.Config{}), pauses: boottime.NewPauseDetector(boottime.Now),
 	}
 	gate := newStagingGate(staging, config.StartSettle)
@@ -207,9 +211,9 @@
 		report, err := a.engine.Report(callCtx)
 		cancel()
 		if err != nil {
-			a.pollFailed(err)
+			a.pollFailed(err, requestedAt)
 		} else {
-			a.pollSucceeded(report)
+			a.pollSucceeded(report, requestedAt)
 		}
 		a.updater.queueReport(ctx, report, requestedAt, err)
 		a.divideSlots()
@@ -225,9 +229,10 @@
 // reported as unreachable.
 const unreachableAfter = 2
 
-func (a *Agent) pollFailed(err error) {
+func (a *Agent) pollFailed(err error, requestedAt boottime.Instant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.paceFailed(requestedAt)
 	a.failedPolls++
 	if a.failedPolls >= unreachableAfter && !a.status.GetUnreachable() {
 		a.log.Warn("The engine does not respond; gateways are notified that it is unreachable.", "err", err)
@@ -235,9 +240,10 @@
 	}
 }
 
-func (a *Agent) pollSucceeded(report EngineReport) {
+func (a *Agent) pollSucceeded(report EngineReport, requestedAt boottime.Instant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.paceReport(report, requestedAt)
 	a.failedPolls = 0
 	if a.status.GetUnreachable() {
 		a.log.Info("The engine responds.", "boot", report.Boot, "weights", report.Weights)
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -210,7 +210,7 @@
 		return
 	}
 	a.revision, a.version = declared.GetRevision(), declared.GetVersion()
-	a.divider.SetSlots(int(declared.GetSlots()))
+	a.applyPace(declared, order > 0)
 	if a.quota.SetLimit(int(declared.GetMaxStarts()), int(declared.GetSlots())) {
 		a.log.Info("Slots and limit of calls per second declared.", "slots", declared.GetSlots(), "limit", declared.GetMaxStarts(),
 			"revision", a.revision, "version", a.version)
