slotshare: no slot moves for a second after their number has risen

Cause: the shares of 6 slots fall on other gateways than those of 3. While an agent raises the number step by step, slots move from gateways that have filled them since their last report, up to 1 s old, and two calls run in one slot. Change: for 1 s after an increase, grants are lowered only as far as more are granted than there are slots. A deployment without pacing is affected only for 1 s after its declared slots rise.

--- a/slotshare/slotshare.go
+++ b/slotshare/slotshare.go
@@ -29,6 +29,9 @@
 	// demandTTL is how long a reported demand remains valid: three times the interval at
 	// which gateways repeat their demand.
 	demandTTL = 3 * time.Second
+	// settleTime is how long after an increase of the number of slots none moves from one
+	// gateway to another. Gateways report the calls that they run up to 1 s late.
+	settleTime = time.Second
 )
 
 // Demand is the need for slots that one gateway reports.
@@ -47,6 +50,10 @@
 	offset   float64
 	slots    int
 	gateways map[string]*share
+	// divided is the number of slots at the last Divide. settledAt is settleTime after its
+	// last change if that was an increase.
+	divided   int
+	settledAt boottime.Instant
 }
 
 // share is the state of one gateway.
@@ -101,8 +108,15 @@
 			changed = true
 		}
 	}
+	switch {
+	case d.slots < d.divided:
+		d.settledAt = now
+	case d.slots > d.divided && d.divided > 0:
+		d.settledAt = now.Add(settleTime)
+	}
+	d.divided = d.slots
 	d.setTargets()
-	return d.grant() || changed
+	return d.grant(!now.Before(d.settledAt)) || changed
 }
 
 // setTargets assigns slots in proportion to the weights, rounded so that the targets
@@ -137,13 +151,28 @@
 	return names
 }
 
-// grant lowers grants at once and raises them as far as slots are free.
-func (d *Divider) grant() bool {
+// grant lowers grants at once and raises them as far as slots are free. Unless the number of
+// slots has settled after an increase, it lowers them only as far as more are granted than
+// there are.
+//
+// Load pattern: the number of slots rises several times within a second while an engine
+// recovers. With each rise the shares of many gateways fall on other gateways, and one that
+// loses a slot may just have filled it: its call and that of the new holder both run.
+func (d *Divider) grant(settled bool) bool {
 	changed := false
-	used := 0
+	excess := -d.slots
 	for _, s := range d.gateways {
-		if s.granted > s.target {
-			s.granted, changed = s.target, true
+		excess += s.granted
+	}
+	used := 0
+	for _, name := range d.names() {
+		s := d.gateways[name]
+		lower := max(s.granted-s.target, 0)
+		if !settled {
+			lower = min(lower, max(excess, 0))
+		}
+		if lower > 0 {
+			s.granted, excess, changed = s.granted-lower, excess-lower, true
 		}
 		used += max(s.granted, s.demand.Open)
 	}
--- a/slotshare/slotshare_test.go
+++ b/slotshare/slotshare_test.go
@@ -126,3 +126,75 @@
 		}
 	})
 }
+
+// Failure: an engine recovers and its number of slots rises step by step; with each step slots
+// move between gateways, and those that lose one have just filled it.
+func TestSlotsStayWithTheirGatewaysWhileTheirNumberRises(t *testing.T) {
+	for engine := range 40 {
+		g := NewWithT(t)
+		name := fmt.Sprint("e", engine)
+		d, settled := slotshare.NewDivider(name), slotshare.NewDivider(name)
+		now := start
+		demand := func() {
+			for gateway := range 37 {
+				d.SetDemand(now, fmt.Sprint("g", gateway), slotshare.Demand{Calls: 12})
+				settled.SetDemand(now, fmt.Sprint("g", gateway), slotshare.Demand{Calls: 12})
+			}
+		}
+		before := map[string]int{}
+		for _, number := range []int{3, 6, 12} {
+			demand()
+			d.SetSlots(number)
+			d.Divide(now)
+			total := 0
+			for gateway := range 37 {
+				name := fmt.Sprint("g", gateway)
+				g.Expect(granted(d, name)).To(BeNumerically(">=", before[name]))
+				before[name] = granted(d, name)
+				total += before[name]
+			}
+			g.Expect(total).To(Equal(number))
+			now = now.Add(200 * time.Millisecond)
+		}
+		now = now.Add(time.Second)
+		demand()
+		settled.SetSlots(12)
+		settled.Divide(now)
+		d.Divide(now)
+		for gateway := range 37 {
+			name := fmt.Sprint("g", gateway)
+			g.Expect(granted(d, name)).To(Equal(granted(settled, name)), "the shares after a second")
+		}
+	}
+}
+
+// Failure: the number of slots changes while slots stay with their gateways, and more are
+// granted than there are.
+func TestNeverMoreSlotsAreGrantedThanThereAreWhenTheirNumberChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := slotshare.NewDivider("e")
+		now, number := start, slots
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := fmt.Sprint("g", rapid.IntRange(0, 8).Draw(t, "gateway"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				d.SetDemand(now, name, slotshare.Demand{Calls: rapid.Float64Range(0, 20).Draw(t, "calls"), Open: rapid.IntRange(0, granted(d, name)).Draw(t, "open")})
+			case 2:
+				d.Remove(name)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			case 4:
+				number = rapid.IntRange(1, slots).Draw(t, "slots")
+			}
+			d.SetSlots(number)
+			d.Divide(now)
+			total := 0
+			for gateway := range 9 {
+				total += granted(d, fmt.Sprint("g", gateway))
+			}
+			if total > number {
+				t.Fatalf("%d slots granted of %d", total, number)
+			}
+		}
+	})
+}
