--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -50,6 +50,9 @@
 	// a pass while another call ends: with 10 calls a second that was seen about once a
 	// second.
 	maxQueuedPairs = 2
+	// peakTime is how long a number of running calls shows that the engine has room for
+	// them: about the time in which all calls are replaced by others.
+	peakTime = time.Second
 	// maxFailedInRow and maxFailed are the numbers of failed polls, in a row and with
 	// fewer than goodPolls successful ones between them, that begin a new spell.
 	maxFailedInRow = 2
@@ -129,6 +132,10 @@
 	last      Report
 	lastKnown bool
 	seen      bool
+	// peak is the largest number of running calls that was reported within peakTime, at
+	// peakAt. An engine that runs fewer has room, and a single call that waits will begin.
+	peak   int
+	peakAt boottime.Instant
 	// queuedPairs is the number of reports in a row that showed a queue together with the
 	// one before.
 	queuedPairs int
@@ -208,9 +215,11 @@
 		return nil
 	}
 	c.lowerBaseline(report.Pace)
-	if !seen || report.RequestedAt.Sub(previous.RequestedAt) > maxReportGap || !queued(previous, report) {
+	c.raisePeak(report)
+	waiting := min(previous.Waiting, report.Waiting)
+	if !seen || report.RequestedAt.Sub(previous.RequestedAt) > maxReportGap || !queued(previous, report) || waiting == 1 && report.Running < c.peak {
 		c.queuedPairs = 0
-	} else if c.queuedPairs++; c.queuedPairs >= c.pairsNeeded(min(previous.Waiting, report.Waiting)) {
+	} else if c.queuedPairs++; c.queuedPairs >= c.pairsNeeded(waiting) {
 		return c.shrinkToRunning(now, max(previous.Running, report.Running))
 	}
 	if c.slowed(report.Pace) {
@@ -229,6 +238,12 @@
 	}
 }
 
+func (c *Controller) raisePeak(report Report) {
+	if report.Running >= c.peak || report.RequestedAt.Sub(c.peakAt) > peakTime {
+		c.peak, c.peakAt = report.Running, report.RequestedAt
+	}
+}
+
 // pairsNeeded returns how many pairs of reports in a row must show a queue of a length for
 // the limit to shrink. One suffices if several calls wait, or if the limit has just grown by
 // a single call: a mistake then costs a single slot for a short time.
@@ -252,7 +267,7 @@
 	c.released, c.step = false, c.startLimit()
 	c.hold, c.heldUntil = minHold, now
 	c.partialSince, c.topSince, c.slowSince, c.grownFrom = 0, 0, 0, 0
-	c.baseline, c.seen, c.queuedPairs = 0, false, 0
+	c.baseline, c.seen, c.queuedPairs, c.peak = 0, false, 0, 0
 }
 
 func (c *Controller) startLimit() int { return (c.slots + startDivisor - 1) / startDivisor }
