--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -149,6 +149,7 @@
 	engines, gateways int
 	// coldOver and coldSlack bound the calls to cold engines.
 	coldOver, coldSlack float64
+	contention          bool
 }
 
 var usualFleet = fleetConfig{declaration: engineDeclaration, engines: engineCount, gateways: gatewayCount}
@@ -261,7 +262,7 @@
 	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
 	placer := placement.New(placement.Config{
 		Name: address(host, port+3), Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack,
-		VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, uint64(index))),
+		VersionSwitch: time.Minute, Contention: f.config.contention, Random: rand.New(rand.NewPCG(1, uint64(index))),
 	})
 	gw, err := gateway.New(gateway.Config{
 		Name: core.VMID("gateway-" + strconv.Itoa(index)), CallerListen: callers, ReadyListen: ready, AgentPort: port + 1, Regions: regions,
