gateway: waiting calls borrow slots that become free at other gateways

Cause: a call asks other gateways for a slot when it arrives and never again. Change: while calls wait for contended engines, a gateway asks another one of its zone for a slot every 20 ms, one request at a time, for the first of them. A slot that was lent for a caller who has left goes to the first call that still waits. Result: the new tests of the gateway; the first fails without the repeated request.

--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -118,9 +118,13 @@
 	}
 }
 
+// placeFunc places a ticket, or one that goes before it, in a borrowed slot. It returns the
+// ticket that was placed, nil if none was.
+type placeFunc func(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant, from slotLease) *placement.Ticket
+
 // borrow asks other gateways for a slot and reports whether the ticket was placed in
 // one.
-func (l *lender) borrow(ctx context.Context, ticket *placement.Ticket) bool {
+func (l *lender) borrow(ctx context.Context, ticket *placement.Ticket, place placeFunc) bool {
 	for range maxLendAttempts {
 		address, ok := l.pick(time.Now())
 		if !ok {
@@ -143,7 +147,7 @@
 		expected := time.Duration(reply.GetExpectedMs()) * time.Millisecond
 		sendBy := requestedAt.Add(time.Duration(reply.GetStartWithinMs()) * time.Millisecond)
 		if reply.GetStartWithinMs() > 0 {
-			if placed := l.scheduler.placeBorrowed(ticket, fleet.EndpointID(reply.GetEngine()), expected, sendBy, borrowed); placed != nil {
+			if placed := place(ticket, fleet.EndpointID(reply.GetEngine()), expected, sendBy, borrowed); placed != nil {
 				leaseCounts.Add("borrowed", 1)
 				return placed == ticket
 			}
--- a/gateway/lend_test.go
+++ b/gateway/lend_test.go
@@ -19,11 +19,8 @@
 	"github.com/zinniaseam/zinniaseam/placement"
 )
 
-// lendingGateway returns the part of a gateway that places calls and lends slots, with
-// one engine, and its address.
-func lendingGateway(t *testing.T, granted int) (*scheduler, string) {
-	t.Helper()
-	g := NewWithT(t)
+// lendingView returns a view of one engine.
+func lendingView() *fleet.View {
 	view := fleet.NewView()
 	view.Deployment = &catalogue.Deployment{Services: map[core.ServiceID]catalogue.Backend{"s": {Name: "s", Engine: &catalogue.EngineProfile{
 		BatchSlots: 4, Step: time.Millisecond, StepsPerPass: 1, PromptTokensPerSecond: 1e6, Layers: 1,
@@ -32,6 +29,15 @@
 		ID: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z", Region: "r", Slots: 4, Boot: 1,
 		Weights: []fleet.LoadedLayers{{Model: "m", Version: 1, To: 1}},
 	}
+	return view
+}
+
+// lendingGateway returns the part of a gateway that places calls and lends slots, with
+// one engine, and its address.
+func lendingGateway(t *testing.T, granted int) (*scheduler, string) {
+	t.Helper()
+	g := NewWithT(t)
+	view := lendingView()
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: time.Minute, Random: rand.New(rand.NewPCG(1, 1))})
 	s := newScheduler(placer, boottime.Now)
 	s.setView(view)
@@ -85,6 +91,52 @@
 	g.Eventually(func() int { return lentBy(long) }, time.Second, time.Millisecond).Should(BeZero())
 }
 
+// Load pattern: a call waits at one gateway, and a slot of another becomes free a moment later.
+// Guards against a call that waits beside that slot, since it asked for one on its arrival only.
+func TestACallThatWaitsMissesASlotThatBecomesFreeElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	short, _ := lendingGateway(t, 0)
+	short.placer = contendedPlacer(0)
+	long, address := lendingGateway(t, 1)
+	setPeers(short, address)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = short.run(ctx) }()
+	busy, decision := long.place(ctx, waitingCall())
+	g.Expect(decision.Verdict).To(Equal(placement.Place))
+	placed := make(chan placement.Decision, 1)
+	go func() {
+		_, decision := short.place(ctx, waitingCall())
+		placed <- decision
+	}()
+	g.Consistently(placed, 200*time.Millisecond).ShouldNot(Receive())
+	long.ended(busy, placement.OutcomeAnswered)
+	g.Eventually(placed, 2*time.Second).Should(Receive(HaveField("Verdict", placement.Place)))
+}
+
+// Guards against a slot that stays in use by a call whose caller left while it was requested.
+func TestASlotIsBorrowedForACallerWhoHasLeft(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := lendingGateway(t, 0)
+	s.placer = contendedPlacer(0)
+	left, wake := s.submit(waitingCall())
+	g.Expect(wake).NotTo(BeNil())
+	delete(s.waiting, left)
+	s.placer.Cancel(left)
+	g.Expect(s.placeWaiting(left, "e", time.Millisecond, boottime.Now().Add(time.Second), slotLease{number: 1})).To(BeNil())
+	next, wake := s.submit(waitingCall())
+	g.Expect(s.placeWaiting(left, "e", time.Millisecond, boottime.Now().Add(time.Second), slotLease{number: 2})).To(Equal(next))
+	g.Expect(wake).To(BeClosed())
+}
+
+// contendedPlacer returns a placer of a deployment with contention, with slots of one engine.
+func contendedPlacer(granted int) *placement.Placer {
+	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: time.Minute, Contention: true, Random: rand.New(rand.NewPCG(1, 1))})
+	placer.SetView(boottime.Now(), lendingView())
+	placer.UpdateEngine(placement.EngineStatus{Address: "10.0.0.1:80", Boot: 1, Version: 1, Granted: granted, At: boottime.Now()})
+	return placer
+}
+
 func TestNoSlotIsLentThatOwnCallsNeed(t *testing.T) {
 	g := NewWithT(t)
 	s, _ := lendingGateway(t, 2)
@@ -129,7 +181,7 @@
 	_, wake := s.submit(waitingCall())
 	g.Expect(wake).NotTo(BeNil())
 	ticket, _ := s.submit(waitingCall())
-	g.Expect(s.lender.borrow(ctx, ticket)).To(BeFalse())
+	g.Expect(s.lender.borrow(ctx, ticket, s.placeBorrowed)).To(BeFalse())
 	g.Expect(time.Since(began)).To(BeNumerically("<", 250*time.Millisecond))
 	_, available := s.lender.pick(time.Now())
 	g.Expect(available).To(BeFalse(), "it is in backoff")
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -15,6 +16,9 @@
 // pumpInterval is how often waiting calls are evaluated without other events.
 const pumpInterval = 10 * time.Millisecond
 
+// borrowInterval is how often slots of other gateways are requested for waiting calls.
+const borrowInterval = 20 * time.Millisecond
+
 // overdueInterval is how often calls without a first byte are checked.
 const overdueInterval = 50 * time.Millisecond
 
@@ -31,6 +35,8 @@
 	// leases are the borrowed slots in which attempts run.
 	leases map[*placement.Ticket]slotLease
 	lender *lender
+	// borrowing is set while a slot is requested for the waiting calls.
+	borrowing atomic.Bool
 }
 
 func newScheduler(placer *placement.Placer, now boottime.Clock) *scheduler {
@@ -40,9 +46,10 @@
 
 // run evaluates waiting and overdue calls until ctx ends.
 func (s *scheduler) run(ctx context.Context) error {
-	ticker, overdue := time.NewTicker(pumpInterval), time.NewTicker(overdueInterval)
+	ticker, overdue, borrow := time.NewTicker(pumpInterval), time.NewTicker(overdueInterval), time.NewTicker(borrowInterval)
 	defer ticker.Stop()
 	defer overdue.Stop()
+	defer borrow.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,10 +58,27 @@
 			s.pump()
 		case <-overdue.C:
 			s.moveOverdue()
+		case <-borrow.C:
+			s.borrowForWaiting(ctx)
 		}
 	}
 }
 
+// borrowForWaiting requests a slot of another gateway for the first waiting call. At most one
+// request is in progress.
+func (s *scheduler) borrowForWaiting(ctx context.Context) {
+	s.mu.Lock()
+	ticket := s.placer.FirstToBorrow()
+	s.mu.Unlock()
+	if ticket == nil || !s.borrowing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.borrowing.Store(false)
+		s.lender.borrow(ctx, ticket, s.placeWaiting)
+	}()
+}
+
 // moveOverdue cancels attempts that should be retried at another endpoint.
 func (s *scheduler) moveOverdue() {
 	s.mu.Lock()
@@ -103,7 +127,7 @@
 		return ticket, decision
 	case decision.Verdict == placement.Reject && decision.Reason != core.ReasonOverloaded:
 		return ticket, decision
-	case s.lender.borrow(ctx, ticket):
+	case s.lender.borrow(ctx, ticket, s.placeBorrowed):
 		return ticket, s.decision(ticket)
 	case wake == nil:
 		return ticket, decision
@@ -153,11 +177,30 @@
 func (s *scheduler) placeBorrowed(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant, from slotLease) *placement.Ticket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.placeIn(ticket, id, expected, sendBy, from)
+}
+
+// placeWaiting is placeBorrowed for a ticket whose caller may have left meanwhile. The slot is
+// then for the first call that still waits.
+func (s *scheduler) placeWaiting(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant, from slotLease) *placement.Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, waits := s.waiting[ticket]; !waits {
+		ticket = s.placer.FirstToBorrow()
+	}
+	if ticket == nil {
+		return nil
+	}
+	return s.placeIn(ticket, id, expected, sendBy, from)
+}
+
+// placeIn is placeBorrowed. The caller must hold s.mu.
+func (s *scheduler) placeIn(ticket *placement.Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant, from slotLease) *placement.Ticket {
 	placed := s.placer.PlaceBorrowed(s.now(), ticket, id, expected, sendBy)
 	if placed == nil {
 		return nil
 	}
-	if wake, ok := s.waiting[placed]; ok && placed != ticket {
+	if wake, ok := s.waiting[placed]; ok {
 		close(wake)
 	}
 	delete(s.waiting, placed)
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -35,6 +35,22 @@
 	return ticket
 }
 
+// FirstToBorrow returns the first waiting call for an engine of a service with contended
+// slots, nil if none waits.
+//
+// Load pattern: arrivals are near the capacity and the slots of an engine are divided among
+// dozens of gateways. While calls wait at some of them, slots of others are free for some
+// hundred milliseconds: a sixth of all slots in a play. A call that has found no slot to borrow
+// when it arrived finds one while it waits.
+func (p *Placer) FirstToBorrow() *Ticket {
+	for _, ticket := range p.queue {
+		if p.drainsQueues(ticket.Request.Service) && p.runsEngines(ticket.Request.Service) {
+			return ticket
+		}
+	}
+	return nil
+}
+
 // PlaceBorrowed places a call in a slot of another process, to be sent before sendBy: the ticket
 // for which the slot was borrowed, or the first waiting call that goes before it. It returns
 // the ticket that was placed; nil if the one given is placed already, or if according to this
