transfer: former versions are still sent over region links, heartbeats alone end a fetch

Cause: when a version is declared while the one before is under way, the gateways of the version before stop sending it: their share of the link becomes 0, a chunk under way is kept alive by heartbeats, and new requests are answered as missing. Ruled out: a slow dial to the origin. Change: machines go on sending as gateways of the two versions before, with a quarter of the budget; a source that sends only heartbeats is given up after its wait and four timeouts.

--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -22,7 +22,9 @@
 	errMissing = errors.New("transfer: peer does not have the chunk")
 	errCorrupt = errors.New("transfer: chunk is corrupt")
 	errStalled = errors.New("transfer: no data within the timeout")
-	errLocal   = errors.New("transfer: chunk could not be staged on this machine")
+	// errNoProgress means that the source has only sent heartbeats.
+	errNoProgress = errors.New("transfer: heartbeats without data")
+	errLocal      = errors.New("transfer: chunk could not be staged on this machine")
 )
 
 // watchdog cancels a context when no progress is made for too long.
@@ -33,14 +35,19 @@
 }
 
 // newWatchdog returns a watchdog that fires after first, unless it is reset, and
-// after allow from each reset on.
-func newWatchdog(ctx context.Context, first, allow time.Duration) (context.Context, *watchdog) {
+// after allow from each reset on. The context then ends with the cause.
+func newWatchdog(ctx context.Context, first, allow time.Duration, cause error) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{allow: allow, cancel: cancel}
-	w.timer = time.AfterFunc(first, func() { cancel(errStalled) })
+	w.timer = time.AfterFunc(first, func() { cancel(cause) })
 	return ctx, w
 }
 
+// heartbeatTimeouts is for how many timeouts a source may send heartbeats without data, apart
+// from the wait that it was granted. A source that is itself stuck would hold the chunk for
+// ever; another one may have it.
+const heartbeatTimeouts = 4
+
 func (w *watchdog) reset() { w.timer.Reset(w.allow) }
 func (w *watchdog) pause() { w.timer.Stop() }
 func (w *watchdog) stop()  { w.timer.Stop(); w.cancel(nil) }
@@ -85,7 +92,7 @@
 		return nil, err
 	}
 	data := make([]byte, length)
-	ctx, stall := newWatchdog(r.ctx, fetch.Timeout, fetch.Timeout)
+	ctx, stall := newWatchdog(r.ctx, fetch.Timeout, fetch.Timeout, errStalled)
 	defer stall.stop()
 	offset, _ := r.manifest.ChunkRange(fetch.Chunk)
 	err := s.config.Origin.ReadRange(ctx, r.manifest.Version, offset, data, func(n int) error {
@@ -106,8 +113,10 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, stall := newWatchdog(r.ctx, fetch.Timeout, fetch.Timeout)
+	ctx, stall := newWatchdog(r.ctx, fetch.Timeout, fetch.Timeout, errStalled)
 	defer stall.stop()
+	ctx, progress := newWatchdog(ctx, fetch.Wait+heartbeatTimeouts*fetch.Timeout, heartbeatTimeouts*fetch.Timeout, errNoProgress)
+	defer progress.stop()
 	digest := r.manifest.Chunks[fetch.Chunk]
 	stream, err := client.FetchChunk(ctx, &peerpb.ChunkRequest{
 		Version: string(r.manifest.Version), Index: uint32(fetch.Chunk), Digest: digest[:],
@@ -122,13 +131,15 @@
 		return nil, err
 	}
 	stall.pause()
+	progress.pause()
 	if err := s.receiving.Acquire(ctx, s.weight(length)); err != nil {
 		return nil, err
 	}
+	progress.reset()
 	started := time.Now()
 	defer func() { res.transfer = time.Since(started) }()
 	data := make([]byte, 0, length)
-	return s.readParts(ctx, stream, first, data, stall, &res.bytes)
+	return s.readParts(ctx, stream, first, data, watchdogs{stall: stall, progress: progress}, &res.bytes)
 }
 
 // firstPart skips the empty parts that a waiting server sends as heartbeats.
@@ -149,9 +160,12 @@
 	}
 }
 
+// watchdogs are those of one fetch: stall is reset by any part, progress by data.
+type watchdogs struct{ stall, progress *watchdog }
+
 // readParts appends parts until the stream ends. The error wraps errCorrupt when
 // the chunk exceeds its length in the manifest.
-func (s *Spreader) readParts(ctx context.Context, stream grpc.ServerStreamingClient[peerpb.ChunkPart], part *peerpb.ChunkPart, data []byte, stall *watchdog, received *int64) ([]byte, error) {
+func (s *Spreader) readParts(ctx context.Context, stream grpc.ServerStreamingClient[peerpb.ChunkPart], part *peerpb.ChunkPart, data []byte, watch watchdogs, received *int64) ([]byte, error) {
 	for {
 		n := len(part.GetData())
 		if n > partBytes || len(data)+n > cap(data) {
@@ -160,11 +174,17 @@
 		data = append(data, part.GetData()...)
 		*received += int64(n)
 		metrics.Add("peer_bytes", int64(n))
-		stall.pause()
+		watch.stall.pause()
+		if n > 0 {
+			watch.progress.pause()
+		}
 		if err := s.download.wait(ctx, n); err != nil {
 			return data, err
 		}
-		stall.reset()
+		watch.stall.reset()
+		if n > 0 {
+			watch.progress.reset()
+		}
 		next, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
 			return data, nil
--- a/transfer/regions.go
+++ b/transfer/regions.go
@@ -14,6 +14,11 @@
 	// regionSlots limits the chunks that are being sent to one region at
 	// once.
 	regionSlots = 2
+	// formerVersions is for how many versions before the target version a machine still sends
+	// what it sent as their gateway, and formerShare the part of the budget that the gateways
+	// of one of them together use.
+	formerVersions = 2
+	formerShare    = 0.25
 )
 
 // regionPacers keeps this machine's share of the budget of each link to another
@@ -24,6 +29,8 @@
 	rate    int64
 	burst   int
 	version core.VersionID
+	// former are the versions before, the latest first.
+	former  []core.VersionID
 	self    spread.Member
 	members []spread.Member
 	links   map[core.RegionID]*regionLink
@@ -35,8 +42,8 @@
 	pacer *pacer
 	slots *slotQueue
 	// gatewayCount is the number of gateways of the link; 0 when this machine is
-	// not one of them.
-	gatewayCount int
+	// not one of them. formerCount is the same for a former version.
+	gatewayCount, formerCount int
 	// governed limits the budget of the link below the configured one while
 	// isGoverned is true.
 	governed   int64
@@ -66,22 +73,37 @@
 func (r *regionPacers) setMembers(version core.VersionID, self spread.Member, members []spread.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if version != r.version && r.version != "" {
+		r.former = append([]core.VersionID{r.version}, r.former[:min(len(r.former), formerVersions-1)]...)
+	}
 	r.version, r.self, r.members = version, self, members
 	for region, link := range r.links {
-		link.gatewayCount = r.gatewayCount(region)
+		r.setCounts(link, region)
 		link.pacer.setRate(r.share(link))
 	}
 }
 
-// gatewayCount returns the number of gateways to a region; 0 when self is not one.
-func (r *regionPacers) gatewayCount(region core.RegionID) int {
+// setCounts sets the numbers of gateways of a link.
+//
+// Load pattern: a version is declared while the one before is under way. Its gateways differ.
+// If those of the version before stopped sending, the chunks that they have not sent would be
+// missing in the other regions, which go on asking them, and nobody could complete it.
+func (r *regionPacers) setCounts(link *regionLink, region core.RegionID) {
+	link.gatewayCount, link.formerCount = r.gatewayCount(r.version, region), 0
+	for _, version := range r.former {
+		link.formerCount = max(link.formerCount, r.gatewayCount(version, region))
+	}
+}
+
+// gatewayCount returns the number of gateways of a version to a region; 0 when self is not one.
+func (r *regionPacers) gatewayCount(version core.VersionID, region core.RegionID) int {
 	members := r.members
 	if !r.self.Relay {
 		// Such a machine is asked only when no relay responds, so relays do not
 		// count.
 		members = slices.DeleteFunc(slices.Clone(members), func(m spread.Member) bool { return m.Relay && m.Region == r.self.Region })
 	}
-	gateways := spread.Gateways(r.version, r.self.Region, region, members)
+	gateways := spread.Gateways(version, r.self.Region, region, members)
 	isGateway := slices.ContainsFunc(gateways, func(m spread.Member) bool { return m.ID == r.self.ID })
 	if !isGateway {
 		return 0
@@ -90,14 +112,18 @@
 }
 
 func (r *regionPacers) share(link *regionLink) float64 {
-	if link.gatewayCount == 0 {
-		return 0
-	}
 	budget := r.rate
 	if link.isGoverned {
 		budget = min(budget, link.governed)
 	}
-	return float64(budget) / float64(link.gatewayCount)
+	switch {
+	case link.gatewayCount > 0:
+		return float64(budget) / float64(link.gatewayCount)
+	case link.formerCount > 0:
+		return formerShare * float64(budget) / float64(link.formerCount)
+	default:
+		return 0
+	}
 }
 
 // setGovernedRate changes the budget of one link, up to the configured budget.
@@ -149,13 +175,13 @@
 	defer r.mu.Unlock()
 	link, ok := r.links[region]
 	if !ok {
-		gatewayCount := r.gatewayCount(region)
-		if gatewayCount == 0 || len(r.links) >= maxRegions {
+		link = &regionLink{pacer: newPacer(1, r.burst), slots: newSlotQueue(regionSlots)}
+		r.setCounts(link, region)
+		if link.gatewayCount+link.formerCount == 0 || len(r.links) >= maxRegions {
 			return nil, false
 		}
-		link = &regionLink{pacer: newPacer(1, r.burst), slots: newSlotQueue(regionSlots), gatewayCount: gatewayCount}
 		link.pacer.setRate(r.share(link))
 		r.links[region] = link
 	}
-	return link, link.gatewayCount > 0
+	return link, link.gatewayCount+link.formerCount > 0
 }
