--- a/placement/queue.go
+++ b/placement/queue.go
@@ -184,14 +184,32 @@
 // room, are rejected again.
 func (p *Placer) retryAfter(now boottime.Instant, ticket *Ticket, startsIn time.Duration) time.Duration {
 	request := &ticket.Request
-	opens := p.opensAt(now, request)
-	honored := request.Deadline.Sub(now) / honoredDivisor
 	all, own := p.startRates(now, request)
 	if own == 0 {
-		after := entryInterval/2 + time.Duration(p.config.Random.Int64N(int64(entryInterval)))
-		return max(min(after, max(honored, entryInterval/2)), opens.Sub(now)+after-entryInterval/2)
+		return p.retryWithoutSlots(now, request, time.Duration(p.config.Random.Int64N(int64(entryInterval))))
+	}
+	after, taken := p.nextReturn(now, ticket, startsIn, all)
+	if taken != 0 {
+		p.returns[request.Service] = taken
 	}
-	interval := time.Duration(float64(time.Second) / all)
+	return after
+}
+
+// retryWithoutSlots returns when a rejected caller should come back while no slot for its call is
+// predicted. offset, in [0, entryInterval), spreads the callers.
+func (p *Placer) retryWithoutSlots(now boottime.Instant, request *Request, offset time.Duration) time.Duration {
+	honored := request.Deadline.Sub(now) / honoredDivisor
+	after := entryInterval/2 + offset
+	return max(min(after, max(honored, entryInterval/2)), p.opensAt(now, request).Sub(now)+after-entryInterval/2)
+}
+
+// nextReturn returns when a rejected caller should come back, given how many calls per second this
+// process can start, and the time that is then taken by this caller in returns, 0 for none.
+func (p *Placer) nextReturn(now boottime.Instant, ticket *Ticket, startsIn time.Duration, perSecond float64) (after time.Duration, taken boottime.Instant) {
+	request := &ticket.Request
+	opens := p.opensAt(now, request)
+	honored := request.Deadline.Sub(now) / honoredDivisor
+	interval := time.Duration(float64(time.Second) / perSecond)
 	maxWait := ticket.latestStart.Sub(ticket.arrived)
 	if ticket.decision.StandingFor > 0 {
 		maxWait = 0 // callers come back once the queue has drained
@@ -199,10 +217,9 @@
 	at := now.Add(max(startsIn-maxWait, interval))
 	at = max(at, p.returns[request.Service].Add(interval))
 	if at > now.Add(honored) {
-		return max(honored, travelTime, opens.Sub(now))
+		return max(honored, travelTime, opens.Sub(now)), 0
 	}
-	p.returns[request.Service] = at
-	return max(at, opens).Sub(now)
+	return max(at, opens).Sub(now), at
 }
 
 // Cancel removes a waiting request from the queue.
--- a/placement/standing.go
+++ b/placement/standing.go
@@ -119,6 +119,17 @@
 		return nil
 	}
 	q := p.queueOf(now, request)
+	victim := p.drainVictim(now, ticket, q)
+	if victim != nil {
+		ticket.decision.StandingFor = now.Sub(q.shortAt)
+		victim.decision.StandingFor = now.Sub(q.shortAt)
+	}
+	return victim
+}
+
+// drainVictim is turnAway with the state of the queue. It changes that state only.
+func (p *Placer) drainVictim(now boottime.Instant, ticket *Ticket, q *standingQueue) *Ticket {
+	request := &ticket.Request
 	byTeam := map[core.TeamID]int{}
 	waiting := 0
 	for _, t := range p.queue {
@@ -133,14 +144,12 @@
 	if !q.update(now, p.drainInterval(request.Service)) || !request.mayBeTurnedAway() {
 		return nil
 	}
-	ticket.decision.StandingFor = now.Sub(q.shortAt)
 	victim, most := ticket, byTeam[request.Team]+1
 	for _, t := range p.queue {
 		if t.Request.Service == request.Service && t.Request.Priority == request.Priority && t.Request.mayBeTurnedAway() && byTeam[t.Request.Team] > most {
 			victim = t
 		}
 	}
-	victim.decision.StandingFor = now.Sub(q.shortAt)
 	return victim
 }
 
