gateway: /explain on the metrics address tells where a call would go

Cause: the explanation of the placer has to be asked for from outside of the process, with the route, team and rank that the gateway finds for a call. Change: GET /explain takes host, path, method, team, service, token counts and time-out; a key is taken as bearer token only, since queries end up in logs and error messages. The check of real calls finds route and team; the retry budget, the quarantine and the store are not touched. The answer has the revision and age of the declaration and says whether the view is old or the process cut off. Errors are JSON with 400, 404, 405 or 503. metrics.Serve takes further pages. The messages are in the new package explain.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/explain"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
@@ -166,7 +167,9 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	var process kernel.Process
 	process.AddDuty("store", g.follower.Run)
-	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, g.config.MetricsListen, g.log) })
+	process.AddDuty("metrics", func(ctx context.Context) error {
+		return metrics.Serve(ctx, g.config.MetricsListen, g.log, metrics.Page{Path: explain.Path, Handler: http.HandlerFunc(g.serveExplain)})
+	})
 	process.AddDuty("placement", g.scheduler.run)
 	process.AddDuty("agents", g.agents.run)
 	process.AddDuty("wants", g.agents.reportDemand)
--- a/metrics/serve.go
+++ b/metrics/serve.go
@@ -14,10 +14,16 @@
 // readHeaderTimeout bounds the reading of a request's headers.
 const readHeaderTimeout = 5 * time.Second
 
-// Serve serves all expvar variables under /debug/vars at address until ctx is
-// done. If it can't listen there, it logs a warning and waits for ctx, so that the
+// Page is served beside the metrics.
+type Page struct {
+	Path    string
+	Handler http.Handler
+}
+
+// Serve serves all expvar variables under /debug/vars, and the given pages, at address until
+// ctx is done. If it can't listen there, it logs a warning and waits for ctx, so that the
 // process keeps running without metrics.
-func Serve(ctx context.Context, address string, logger *log.Logger) error {
+func Serve(ctx context.Context, address string, logger *log.Logger, pages ...Page) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		logger.Warn("The metrics listener cannot be opened; the process runs without metrics.", "address", address, "err", err)
@@ -26,6 +32,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	for _, page := range pages {
+		mux.Handle(page.Path, page.Handler)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
