--- a/placement/standing_test.go
+++ b/placement/standing_test.go
@@ -79,12 +79,11 @@
 		for _, ticket := range r.placer.Pump(r.now) {
 			r.note(ticket, r.waiting[ticket])
 		}
-		for r.random.Float64() < perSecond*step.Seconds()/2 || r.random.Float64() < perSecond*step.Seconds()/2 {
+		if r.random.Float64() < perSecond*step.Seconds() {
 			request := kinds[r.random.IntN(len(kinds))]
 			request.Service, request.PromptTokens, request.OutputTokens = engines, 200, 120
 			request.Deadline, request.FirstEventBy = r.now.Add(6*time.Second), r.now.Add(2400*time.Millisecond)
 			r.note(r.placer.Submit(r.now, request), r.now)
-			break
 		}
 	}
 }
