slotshare: demands can be compared

Cause: a slice in Demand made it incomparable, which a test of startquota relies on. Change: demand by rank is an array; a gateway that tells no ranks has none above zero. Result: lint, ./slotshare, ./startquota, ./agent and ./pacing pass.

--- a/agent/follower.go
+++ b/agent/follower.go
@@ -208,8 +208,8 @@
 // none.
 func decodeDemand(want *peerpb.SlotWant) slotshare.Demand {
 	demand := slotshare.Demand{Calls: demandedCalls(want.GetCalls()), Open: int(want.GetOpen())}
-	for _, calls := range want.GetRanked()[:min(len(want.GetRanked()), slotshare.Ranks)] {
-		demand.Ranked = append(demand.Ranked, demandedCalls(calls))
+	for rank, calls := range want.GetRanked()[:min(len(want.GetRanked()), slotshare.Ranks)] {
+		demand.Ranked[rank] = demandedCalls(calls)
 	}
 	return demand
 }
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -53,14 +53,12 @@
 
 func encodeDemand(demand slotshare.Demand) *peerpb.SlotWant {
 	want := &peerpb.SlotWant{Calls: float32(demand.Calls), Open: uint32(demand.Open)}
-	last := -1
 	for rank, calls := range demand.Ranked {
-		want.Ranked = append(want.Ranked, float32(calls))
 		if calls > 0 {
-			last = rank
+			want.Ranked = append(want.Ranked, make([]float32, rank-len(want.Ranked))...)
+			want.Ranked = append(want.Ranked, float32(calls))
 		}
 	}
-	want.Ranked = want.Ranked[:last+1]
 	return want
 }
 
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -104,12 +104,11 @@
 	}
 }
 
-// rankedShares returns the demand for a service by rank, nil unless calls compete by rank.
-func (p *Placer) rankedShares(now boottime.Instant, service core.ServiceID, callTime time.Duration) []float64 {
+// rankedShares returns the demand for a service by rank, nothing unless calls compete by rank.
+func (p *Placer) rankedShares(now boottime.Instant, service core.ServiceID, callTime time.Duration) (ranked [slotshare.Ranks]float64) {
 	if !p.config.Contention {
-		return nil
+		return ranked
 	}
-	ranked := make([]float64, slotshare.Ranks)
 	for rank, rate := range p.arrivals[service] {
 		ranked[slotshare.Rank(rank)] += rate.rate(now) * callTime.Seconds()
 	}
@@ -122,12 +121,11 @@
 }
 
 // times returns the values multiplied by a factor.
-func times(values []float64, factor float64) []float64 {
-	var scaled []float64
-	for _, value := range values {
-		scaled = append(scaled, value*factor)
+func times(values [slotshare.Ranks]float64, factor float64) [slotshare.Ranks]float64 {
+	for i := range values {
+		values[i] *= factor
 	}
-	return scaled
+	return values
 }
 
 // demandWeight is the weight of an engine in the division of the demand: less for those that are
--- a/slotshare/slotshare.go
+++ b/slotshare/slotshare.go
@@ -39,9 +39,9 @@
 	// Calls is the number of calls that the gateway would run at the endpoint if it had
 	// the slots.
 	Calls float64
-	// Ranked are the calls by rank, the highest first; nil if the gateway does not tell them.
-	// All its calls then have the lowest rank.
-	Ranked []float64
+	// Ranked are the calls by rank, the highest first. All calls of a gateway that does not
+	// tell them have the lowest rank.
+	Ranked [Ranks]float64
 	// Open is the number of calls that it runs there now.
 	Open int
 }
@@ -54,13 +54,11 @@
 
 // byRank returns the demand by rank, of at least minDemand in total.
 func (d Demand) byRank() [Ranks]float64 {
-	var ranked [Ranks]float64
-	total := 0.0
-	for rank, calls := range d.Ranked {
-		ranked[Rank(rank)] += calls
+	ranked, total := d.Ranked, 0.0
+	for _, calls := range ranked {
 		total += calls
 	}
-	if d.Ranked == nil {
+	if total == 0 {
 		ranked[Ranks-1], total = d.Calls, d.Calls
 	}
 	ranked[Ranks-1] += max(minDemand-total, 0)
