gateway, forward: one memory budget for the bodies of calls and answers

Cause: a gateway read whole bodies of calls without a bound on their total size, and a complete answer counted towards the 24 MiB for answers only until it had been read, not until its caller had accepted it. An ordinary burst of 4 MiB bodies ended a gateway.

Change: bodies of calls and answers share one budget (membudget), 25% of the machine's memory by default (setting body-memory). A body of an announced length gets its memory before it is read, or 503 with Retry-After and the connection is closed; a chunked one is read into a buffer that doubles. A length over max-body-bytes is rejected with 413 before the body is read. A body keeps its memory until its call has ended, or its complete answer is being delivered; an answer until it is delivered. A caller that makes no progress loses its memory to others after 2 s, and otherwise its call after 15 s. In the budget, responses leave the last eighth to small requests: with none left, TestAnswersWithoutEnd... failed with 503 for calls with 4-byte bodies. The dialect is given the body, since the gateway reads it; the tests of ReadCall changed their calls accordingly. At most 20 lines a second are logged about rejected bodies.

The 2 cases of descriptors still fail. Tests of forward and platform pass; in gateway those of bodies, slow callers, answers without end and large calls, and the 3 new ones, 2 of them 3 times with -race.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -38,6 +38,7 @@
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonNoRoute          Reason = "no_route"
 	ReasonTooLarge         Reason = "too_large"
+	ReasonNoMemory         Reason = "no_memory"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonTeamShare        Reason = "team_over_share"
 	ReasonDeadline         Reason = "deadline"
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/membudget"
 )
 
 // Answer is the head of an endpoint's answer. Its body must be read to the end or
@@ -36,6 +37,10 @@
 	stop  func() bool
 	ended bool
 	reuse bool
+	// memory holds the body that ReadAll has read, nil before. evicted is called if its bytes
+	// are needed while it is passed on.
+	memory  *membudget.Holder
+	evicted func()
 }
 
 var (
@@ -177,8 +182,11 @@
 }
 
 // Close ends the exchange. If the body was not read to its end, the connection is
-// closed.
-func (a *Answer) Close() { a.finish(false) }
+// closed. The body that ReadAll returned must not be used any more.
+func (a *Answer) Close() {
+	a.finish(false)
+	a.release()
+}
 
 func (a *Answer) finish(reuse bool) {
 	if a.ended {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/membudget"
 )
 
 // Time-outs and limits of connections.
@@ -47,16 +48,20 @@
 // Pool pools connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
-	bodies bodyMemory
+	// memory is the budget for the bodies of answers.
+	memory *membudget.Budget
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// NewPool returns an empty pool with a budget of its own for the bodies of answers.
+func NewPool() *Pool { return NewPoolWithin(membudget.New(defaultMemory)) }
+
+// NewPoolWithin returns an empty pool that holds the bodies of answers within memory.
+func NewPoolWithin(memory *membudget.Budget) *Pool {
 	return &Pool{
-		idle: map[string][]*conn{}, bodies: newBodyMemory(),
+		idle: map[string][]*conn{}, memory: memory,
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
 		}},
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/metrics"
@@ -54,7 +56,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	s.writer.WriteHeader(status)
-	if _, err := s.writer.Write(body); err != nil {
+	if err := s.deliver(answer, body); err != nil {
 		return placement.OutcomeCanceled, stepDone
 	}
 	outcomes.Add("answered", 1)
@@ -64,6 +66,37 @@
 	return placement.OutcomeAnswered, stepDone
 }
 
+// deliver writes a complete answer. If the caller stalls while its memory is needed, the write
+// fails and the connection is closed.
+func (s *session) deliver(answer *forward.Answer, body []byte) error {
+	if s.memory != nil {
+		// The call is not sent again, so a caller that reads slowly need not hold its body.
+		s.admitted.call.Body = nil
+		s.memory.Close()
+	}
+	controller := http.NewResponseController(s.writer)
+	var evicted atomic.Bool
+	progress := answer.Deliver(func() {
+		evicted.Store(true)
+		_ = controller.SetWriteDeadline(time.Now())
+	})
+	for len(body) > 0 {
+		if evicted.Load() {
+			return errEvicted
+		}
+		n, err := s.writer.Write(body[:min(answerPiece, len(body))])
+		if err != nil {
+			if evicted.Load() {
+				stalledCallers.Add("evicted", 1)
+			}
+			return err
+		}
+		progress(n)
+		body = body[n:]
+	}
+	return nil
+}
+
 // impliesNotRun reports whether a status means to callers that the call has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/lastcalls"
+	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/metastore"
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peers"
@@ -32,12 +33,10 @@
 // endpoints.
 type Dialect interface {
 	forward.Dialect
-	// ReadCall reads a request with its body of at most maxBody bytes.
-	ReadCall(r *http.Request, maxBody int64) (*forward.Call, error)
+	// ReadCall returns the call of a request, whose body has been read.
+	ReadCall(r *http.Request, body []byte) *forward.Call
 	// Timeout returns how long the caller of a request waits, 0 if it does not say.
 	Timeout(r *http.Request) time.Duration
-	// TooLarge reports whether ReadCall returned err because the body was too large.
-	TooLarge(err error) bool
 	// PassHeaders copies the headers of an endpoint's answer that are passed on.
 	PassHeaders(to, from http.Header)
 	// SetRetryAfter sets the time after which a caller should retry.
@@ -70,7 +69,11 @@
 	MetricsListen string
 	// WatchWait bounds one watch request to the store.
 	WatchWait time.Duration
-	Relay     RelayConfig
+	// BodyMemory is the budget for the bodies of calls and answers in bytes, 0 for a default.
+	BodyMemory int64
+	// CallerConnections bounds the connections of callers, 0 for no bound.
+	CallerConnections int
+	Relay             RelayConfig
 }
 
 // Gateway serves callers.
@@ -81,10 +84,13 @@
 	follower  *metastore.Follower
 	confirmer *confirmer
 	pool      *forward.Pool
-	scheduler *scheduler
-	budgets   *budgets
-	agents    *agents
-	relay     *relay
+	// memory is the budget for the bodies of calls and answers.
+	memory      *membudget.Budget
+	unreadLines *lineLimit
+	scheduler   *scheduler
+	budgets     *budgets
+	agents      *agents
+	relay       *relay
 	// quarantine keeps calls with harmful prompt parts away from engines.
 	quarantine *quarantineGuard
 	log        *log.Logger
@@ -108,8 +114,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.BodyMemory <= 0 {
+		config.BodyMemory = defaultBodyMemory
+	}
+	memory := membudget.New(config.BodyMemory)
 	g := &Gateway{
-		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPool(),
+		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(),
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/placement"
 )
 
@@ -50,11 +51,14 @@
 	if deployment := g.tracker.View().Deployment; deployment != nil && deployment.Limits.BodyBytes > 0 {
 		maxBody = deployment.Limits.BodyBytes
 	}
-	call, err := g.readCall(w, r, maxBody)
+	call, memory, err := g.readCall(w, r, maxBody)
 	if err != nil {
 		g.rejectUnread(w, r, err)
 		return
 	}
+	if memory != nil {
+		defer memory.Close()
+	}
 	// The body may have arrived long after the head.
 	view, admittedAt := g.tracker.View(), g.now()
 	a, rejected := g.check(view, call, arrived, admittedAt)
@@ -77,7 +81,7 @@
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
 	defer context.AfterFunc(g.ending, func() { abandon(errStopped) })()
-	s := &session{gateway: g, admitted: a, writer: w, ctx: ctx, abandon: abandon, lastEvent: call.LastEvent}
+	s := &session{gateway: g, admitted: a, memory: memory, writer: w, ctx: ctx, abandon: abandon, lastEvent: call.LastEvent}
 	if part, admitted := g.quarantine.admit(s); !admitted {
 		g.reject(w, call, quarantined, "route", a.route.Name, "team", a.teamName(), "part", part)
 		return
@@ -106,17 +110,27 @@
 // errDeadline is the cancellation cause of a call whose deadline has passed.
 var errDeadline = errors.New("call deadline exceeded")
 
+// rejectUnread rejects a request whose body has not been read to its end. Its connection is
+// closed, so that the rest of the body takes neither memory nor time.
 func (g *Gateway) rejectUnread(w http.ResponseWriter, r *http.Request, err error) {
-	status := http.StatusBadRequest
+	status, reason := http.StatusBadRequest, core.ReasonBadRequest
 	switch {
-	case g.dialect.TooLarge(err):
-		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errTooLarge):
+		status, reason = http.StatusRequestEntityTooLarge, core.ReasonTooLarge
+	case errors.Is(err, errNoMemory):
+		status, reason = http.StatusServiceUnavailable, core.ReasonNoMemory
+		g.dialect.SetRetryAfter(w.Header(), elsewhereRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		status = http.StatusRequestTimeout
-		w.Header().Set("Connection", "close")
+		status, reason = http.StatusRequestTimeout, core.ReasonDeadline
 	}
-	g.log.Info("Reading the request failed; rejecting it.", "status", status, "host", r.Host, "err", err)
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedReadTimeout))
 	w.WriteHeader(status)
+	rejections.Add(string(reason), 1)
+	if unlogged, permitted := g.unreadLines.take(); permitted {
+		g.log.Info("Reading the request failed; rejecting it.", "request", g.dialect.ReadCall(r, nil).ID, "status", status, "reason", reason,
+			"caller", r.RemoteAddr, "host", r.Host, "length", r.ContentLength, "memoryUsed", g.memory.Used(), "memoryCapacity", g.memory.Capacity(), "unlogged", unlogged, "err", err)
+	}
 }
 
 // reject answers a call with a rejection. details are additional log keys and values.
@@ -134,8 +148,10 @@
 type session struct {
 	gateway  *Gateway
 	admitted *admitted
-	writer   http.ResponseWriter
-	ctx      context.Context
+	// memory holds the body of the call, nil if it has none.
+	memory *membudget.Holder
+	writer http.ResponseWriter
+	ctx    context.Context
 	// abandon ends ctx with a cause.
 	abandon context.CancelCauseFunc
 
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -39,13 +39,15 @@
 	progressParts = 64
 )
 
-// Shares of the capacity, in eighths, that requests of a size may use together with all other
-// transfers. Larger transfers leave room for smaller ones, and requests for responses.
+// Shares of the capacity, in eighths, that transfers may use together with all others. Larger
+// requests leave room for smaller ones and for responses, and responses for small requests.
+// Small requests may use all of it. Small responses are always granted: there are at most as
+// many as requests that run, and those have been granted.
 const (
-	eighths       = 8
-	smallEighths  = 7
-	mediumEighths = 6
-	largeEighths  = 5
+	eighths         = 8
+	responseEighths = 7
+	mediumEighths   = 6
+	largeEighths    = 5
 )
 
 // Budget is the memory for transfers of one process. It is safe for concurrent use.
@@ -124,9 +126,9 @@
 	case kind == Response && size <= SmallBytes:
 		return math.MaxInt64
 	case kind == Response:
-		return b.capacity
+		return b.capacity / eighths * responseEighths
 	case size <= SmallBytes:
-		return b.capacity / eighths * smallEighths
+		return b.capacity
 	case size <= MediumBytes:
 		return b.capacity / eighths * mediumEighths
 	default:
