gateway: bound on the connections of callers and on what they hold

Cause: nothing bounded the connections of callers, so they could use up the descriptors of the process, and each could hold a head of 64 KiB.

Change: package connlimit bounds the open connections of a listener. If it is full, the oldest connection that has not sent a request yet is closed, then the one that has been idle longest, otherwise the new one. Heads are bounded by 32 KiB instead of 68; deployments declare 16 KiB. The readiness listener gets bounds on connections, heads and time.

--- /dev/null
+++ b/connlimit/connlimit_test.go
@@ -0,0 +1,89 @@
+package connlimit_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniaseam/zinniaseam/connlimit"
+)
+
+// serve starts a server with at most max connections. Requests to /wait last until the test ends.
+func serve(t *testing.T, max int) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	limit := connlimit.New(max)
+	ended := make(chan struct{})
+	server := &http.Server{ConnState: limit.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			_ = http.NewResponseController(w).Flush()
+			<-ended
+		}
+	})}
+	go func() { _ = server.Serve(limit.Listen(inner)) }()
+	t.Cleanup(func() {
+		close(ended)
+		_ = server.Close()
+	})
+	return inner.Addr().String()
+}
+
+// dial opens a connection and sends a request unless path is empty.
+func dial(g *WithT, address, path string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	if path != "" {
+		_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = conn.Read(make([]byte, 4096))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	return conn
+}
+
+// closed reports whether the server has closed a connection.
+func closed(conn net.Conn, within time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(within))
+	_, err := io.Copy(io.Discard, conn)
+	netErr, ok := err.(net.Error)
+	return !ok || !netErr.Timeout()
+}
+
+const (
+	closedWithin = 5 * time.Second
+	openFor      = 200 * time.Millisecond
+)
+
+// Guards against connections without a request that keep out clients with requests.
+func TestConnectionsWithoutARequestAreClosedFirst(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t, 3)
+	busy, idle, fresh := dial(g, address, "/wait"), dial(g, address, "/"), dial(g, address, "")
+	time.Sleep(openFor) // the server has seen the connections' states
+	dial(g, address, "/wait")
+	g.Expect(closed(fresh, closedWithin)).To(BeTrue())
+	g.Expect(closed(idle, openFor)).To(BeFalse())
+	dial(g, address, "/wait")
+	g.Expect(closed(idle, closedWithin)).To(BeTrue())
+	g.Expect(closed(busy, openFor)).To(BeFalse())
+	refused, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(closed(refused, closedWithin)).To(BeTrue())
+	g.Expect(closed(busy, openFor)).To(BeFalse())
+}
+
+// Guards against connections that count although they are closed.
+func TestAClosedConnectionMakesRoom(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t, 1)
+	for range 20 {
+		dial(g, address, "/").Close()
+	}
+	g.Expect(closed(dial(g, address, "/"), openFor)).To(BeFalse())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/connlimit"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
@@ -71,7 +72,7 @@
 	WatchWait time.Duration
 	// BodyMemory is the budget for the bodies of calls and answers in bytes, 0 for a default.
 	BodyMemory int64
-	// CallerConnections bounds the connections of callers, 0 for no bound.
+	// CallerConnections bounds the connections of callers, 0 for a default.
 	CallerConnections int
 	Relay             RelayConfig
 }
@@ -117,6 +118,9 @@
 	if config.BodyMemory <= 0 {
 		config.BodyMemory = defaultBodyMemory
 	}
+	if config.CallerConnections <= 0 {
+		config.CallerConnections = defaultCallerConnections
+	}
 	memory := membudget.New(config.BodyMemory)
 	g := &Gateway{
 		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(),
@@ -150,6 +154,12 @@
 	callerIdleTimeout = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 10 * time.Second
+	// maxReadyConnections and maxReadyHeadBytes bound what readiness checks hold. net/http adds
+	// 4 KiB to a head.
+	maxReadyConnections = 64
+	maxReadyHeadBytes   = 4 << 10
+	// defaultCallerConnections bounds the connections of callers if the configuration does not.
+	defaultCallerConnections = 4096
 	// watchBatchDelay and maxWatchBatchDelay let successive changes of the store arrive
 	// in one response. Every time limit on applying changes leaves at least two seconds.
 	watchBatchDelay    = 150 * time.Millisecond
@@ -169,8 +179,15 @@
 	if err != nil {
 		return fmt.Errorf("readiness listener: %w", err)
 	}
-	callerServer := &http.Server{Handler: http.HandlerFunc(g.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes}
-	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	callerLimit, readyLimit := connlimit.New(g.config.CallerConnections), connlimit.New(maxReadyConnections)
+	callerServer := &http.Server{
+		Handler: http.HandlerFunc(g.serveCall), ConnState: callerLimit.ConnState,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+	readyServer := &http.Server{
+		Handler: http.HandlerFunc(g.serveReady), ConnState: readyLimit.ConnState,
+		ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxReadyHeadBytes,
+	}
 	var process kernel.Process
 	process.AddDuty("store", g.follower.Run)
 	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, g.config.MetricsListen, g.log) })
@@ -181,8 +198,10 @@
 	process.AddDuty("weights", g.relay.run)
 	process.AddDuty("spread", g.relay.spreader.Run)
 	process.AddDuty("sweep", g.sweep)
-	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callerListener{callers})) })
-	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
+	process.AddDuty("callers", func(context.Context) error {
+		return ignoreClosed(callerServer.Serve(callerLimit.Listen(callerListener{callers})))
+	})
+	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(readyLimit.Listen(checks))) })
 	process.AddStop("leave", g.drain)
 	process.AddStop("callers", func(ctx context.Context) error { return g.closeCallers(ctx, callerServer) })
 	process.AddStop("readiness", func(context.Context) error { return readyServer.Close() })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,9 +18,9 @@
 
 // Bounds on the data, attempts and time of a call.
 const (
-	// maxHeadBytes bounds the head of a request. defaultMaxBody bounds its body if the
-	// declaration sets no limit, in bytes.
-	maxHeadBytes   = 64 << 10
+	// maxHeadBytes bounds the head of a request, to which net/http adds 4 KiB; deployments
+	// declare 16 KiB. defaultMaxBody bounds its body if the declaration sets no limit, in bytes.
+	maxHeadBytes   = 28 << 10
 	defaultMaxBody = 4 << 20
 	// maxAnswerBytes bounds an answer that is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
