forward, membudget: more long bodies fit into the memory of a gateway

Change: bodies of calls are read into segments of 4 to 256 KiB, so that they hold what has been received of them and nothing is copied. Half of an announced length is reserved before the body is read. New large requests may use 12 sixteenths of the budget, and those that have begun 14, so that few are rejected half received.

Tests of membudget, forward and platform and those of bodies and memory in gateway pass.

--- a/forward/body.go
+++ b/forward/body.go
@@ -40,12 +40,15 @@
 }
 
 func (a *Answer) readBody(limit int64) ([]byte, error) {
-	length := a.length
-	a.memory = a.conn.pool.memory.Open(membudget.Response, InitialBuffer(length), boottime.Now(), a.giveUp)
+	length, initial := a.length, int64(bodyBuffer)
+	if length >= 0 {
+		initial = length
+	}
+	a.memory = a.conn.pool.memory.Open(membudget.Response, initial, boottime.Now(), a.giveUp)
 	if a.memory == nil {
-		return nil, fmt.Errorf("%w: %d bytes requested, %d in total", errNoBodyMemory, max(length, bodyBuffer), a.conn.pool.memory.Capacity())
+		return nil, fmt.Errorf("%w: %d bytes requested, %d in total", errNoBodyMemory, initial, a.conn.pool.memory.Capacity())
 	}
-	return ReadBody(a, length, limit, a.memory, boottime.Now)
+	return readBody(a, length, limit, a.memory, boottime.Now)
 }
 
 // giveUp makes the delivery of the body fail whose memory is needed.
@@ -96,26 +99,16 @@
 	return nil
 }
 
-// InitialBuffer returns the bytes that ReadBody needs to begin with a body of length bytes, -1 if
-// the length is not known.
-func InitialBuffer(length int64) int64 {
-	if length < 0 {
-		return bodyBuffer
-	}
-	return length
-}
-
 // TooLong reports whether ReadBody failed because the body is longer than its limit.
 func TooLong(err error) bool { return errors.Is(err, errBodyTooLong) }
 
 // NoMemory reports whether ReadBody failed because the budget has no memory for the body.
 func NoMemory(err error) bool { return errors.Is(err, errNoBodyMemory) }
 
-// ReadBody reads a body of length bytes, or of at most limit bytes if length is -1, to its end.
-// memory must hold InitialBuffer(length) bytes. A body of unknown length is read into a buffer
-// that doubles, so that its memory is in proportion to the bytes received, however small the
-// chunks are. While it is copied, both buffers are held.
-func ReadBody(body io.Reader, length, limit int64, memory *membudget.Holder, now boottime.Clock) ([]byte, error) {
+// readBody reads a body of length bytes, or of at most limit bytes if length is -1, to its end.
+// memory must hold length or bodyBuffer bytes. A body of unknown length is read into a buffer that
+// doubles; while it is copied, both buffers are held.
+func readBody(body io.Reader, length, limit int64, memory *membudget.Holder, now boottime.Clock) ([]byte, error) {
 	if length > limit {
 		return nil, fmt.Errorf("%w: %d bytes, at most %d", errBodyTooLong, length, limit)
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -23,7 +23,7 @@
 	Path, Target string
 	// Header contains the headers that are passed on unchanged.
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Timeout is how long the caller waits; 0 if the caller does not send it.
 	Timeout time.Duration
 	// Key is the team's key; empty if there is none.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -96,7 +96,7 @@
 	}
 	request := dialect.Request(attempt)
 	provenance := Provenance{Exchanges: c.exchanges}
-	upload := c.startUpload(request, len(attempt.Call.Body))
+	upload := c.startUpload(request, attempt.Call.Body.Size())
 	if err := <-c.readable; err != nil {
 		return nil, fmt.Errorf("%w from %s: %w", ErrNoAnswer, c.address, err)
 	}
--- a/forward/upload_test.go
+++ b/forward/upload_test.go
@@ -22,8 +22,8 @@
 
 func (uploading) Request(a forward.Attempt) *http.Request {
 	request := plain{}.Request(a)
-	request.Method, request.ContentLength = http.MethodPost, int64(len(a.Call.Body))
-	request.Body = io.NopCloser(bytes.NewReader(a.Call.Body))
+	request.Method, request.ContentLength = http.MethodPost, int64(a.Call.Body.Size())
+	request.Body = io.NopCloser(a.Call.Body.Reader())
 	return request
 }
 
@@ -50,7 +50,7 @@
 }
 
 func uploadWith(ctx context.Context, dialect forward.Dialect, e *endpoint, size int) (*forward.Answer, error) {
-	attempt := forward.Attempt{Call: &forward.Call{ID: "r", Body: make([]byte, size)}, Endpoint: &fleet.Endpoint{Address: e.address}}
+	attempt := forward.Attempt{Call: &forward.Call{ID: "r", Body: forward.Body{make([]byte, size)}}, Endpoint: &fleet.Endpoint{Address: e.address}}
 	return forward.NewPool().Do(ctx, dialect, attempt, false)
 }
 
@@ -118,8 +118,8 @@
 
 func (slowUpload) Request(a forward.Attempt) *http.Request {
 	request := uploading{}.Request(a)
-	rest := bytes.NewReader(a.Call.Body[slowUploadPart:])
-	request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.Call.Body[:slowUploadPart]), pause{}, rest))
+	rest := bytes.NewReader(a.Call.Body[0][slowUploadPart:])
+	request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.Call.Body[0][:slowUploadPart]), pause{}, rest))
 	return request
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -93,7 +93,7 @@
 		timeout = defaultTimeout
 	}
 	reader := &callerBody{body: r.Body, controller: http.NewResponseController(w), until: time.Now().Add(timeout), now: g.now}
-	size := forward.InitialBuffer(r.ContentLength)
+	size := forward.ReservedBytes(r.ContentLength)
 	reader.holder = g.memory.Open(membudget.Request, size, g.now(), reader.giveUp)
 	if reader.holder == nil {
 		return nil, nil, fmt.Errorf("%w: %d bytes wanted, %d of %d in use", errNoMemory, size, g.memory.Used(), g.memory.Capacity())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,7 @@
 type Dialect interface {
 	forward.Dialect
 	// ReadCall returns the call of a request, whose body has been read.
-	ReadCall(r *http.Request, body []byte) *forward.Call
+	ReadCall(r *http.Request, body forward.Body) *forward.Call
 	// Timeout returns how long the caller of a request waits, 0 if it does not say.
 	Timeout(r *http.Request) time.Duration
 	// PassHeaders copies the headers of an endpoint's answer that are passed on.
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -12,11 +12,11 @@
 	. "github.com/onsi/gomega"
 )
 
-// largestBody is the default limit of a body. heldBodies of them use up what requests of that
-// size may use of the gateway's default budget.
+// largestBody is the default limit of a body. heldBodies of them, half of each reserved, use up
+// what requests of that size may use of the gateway's default budget.
 const (
 	largestBody = 4 << 20
-	heldBodies  = 5
+	heldBodies  = 12
 )
 
 // post opens a connection and sends the head of a request with a body of size bytes.
@@ -92,7 +92,7 @@
 	text := strings.Repeat("x", largestBody)
 	conn, reader := post(g, address, "0", largestBody)
 	defer conn.Close()
-	for i := range 3 * heldBodies {
+	for i := range heldBodies {
 		if i > 0 {
 			fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %d\r\nX-Timeout-Ms: 2000\r\nAuthorization: Bearer key\r\nTransfer-Encoding: chunked\r\n\r\n", i)
 			fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(text), text)
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -39,15 +39,18 @@
 	progressParts = 64
 )
 
-// Shares of the capacity, in eighths, that transfers may use together with all others. Larger
+// Shares of the capacity, in sixteenths, that transfers may use together with all others. Larger
 // requests leave room for smaller ones and for responses, and responses for small requests.
 // Small requests may use all of it. Small responses are always granted: there are at most as
-// many as requests that run, and those have been granted.
+// many as requests that run, and those have been granted. New requests leave room for the growth
+// of those that were granted a part of their announced size: to reject one that has been half
+// received wastes the memory and time that it took.
 const (
-	eighths         = 8
-	responseEighths = 7
-	mediumEighths   = 6
-	largeEighths    = 5
+	sixteenths         = 16
+	responseSixteenths = 14
+	growthSixteenths   = 14
+	mediumSixteenths   = 13
+	largeSixteenths    = 12
 )
 
 // Budget is the memory for transfers of one process. It is safe for concurrent use.
@@ -82,6 +85,8 @@
 
 	// The fields below are guarded by the budget.
 	size int64
+	// announced is set if the holder opened with more than a small size: it knows what it needs.
+	announced bool
 	// moving is set while the progress depends on the client. Only then can the holder be evicted.
 	moving bool
 	// movedAt is the time of the latest progress, and fresh the bytes transferred since.
@@ -103,6 +108,7 @@
 		return nil
 	}
 	b.holders[h] = struct{}{}
+	h.announced = size > SmallBytes
 	return h
 }
 
@@ -111,7 +117,7 @@
 // collected, so the use can exceed the capacity for the time of a garbage collection.
 func (b *Budget) grant(h *Holder, size int64, now boottime.Instant) bool {
 	others := b.used - h.size
-	excess := others + size - b.limit(h.kind, size)
+	excess := others + size - b.limit(h, size)
 	if size > h.size && others > 0 && excess > 0 && !b.evict(h, excess, now) {
 		return false
 	}
@@ -121,18 +127,20 @@
 }
 
 // limit returns the bytes that may be in use after a grant.
-func (b *Budget) limit(kind Kind, size int64) int64 {
+func (b *Budget) limit(h *Holder, size int64) int64 {
 	switch {
-	case kind == Response && size <= SmallBytes:
+	case h.kind == Response && size <= SmallBytes:
 		return math.MaxInt64
-	case kind == Response:
-		return b.capacity / eighths * responseEighths
+	case h.kind == Response:
+		return b.capacity / sixteenths * responseSixteenths
 	case size <= SmallBytes:
 		return b.capacity
+	case h.announced:
+		return b.capacity / sixteenths * growthSixteenths
 	case size <= MediumBytes:
-		return b.capacity / eighths * mediumEighths
+		return b.capacity / sixteenths * mediumSixteenths
 	default:
-		return b.capacity / eighths * largeEighths
+		return b.capacity / sixteenths * largeSixteenths
 	}
 }
 
