peers, metrics, entry: bounds on connections and heads where they were missing

The metrics listener holds 32 connections, operators 64 and callers of the entry 4,096, of which those without a request are closed first. Metrics requests have 5 s, responses 10 s.

No test shows these bounds against a crowd yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -183,7 +183,7 @@
 	peerpb.RegisterEndpointServer(server, a)
 	peerpb.RegisterPeerServer(server, a)
 	var process kernel.Process
-	process.AddDuty("grpc", func(context.Context) error { return server.Serve(listener) })
+	process.AddDuty("grpc", func(context.Context) error { return server.Serve(peers.Limit(listener)) })
 	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, a.config.MetricsListen, a.log) })
 	process.AddDuty("peers", a.pool.Run)
 	process.AddDuty("pauses", func(ctx context.Context) error { a.pauses.Run(ctx); return ctx.Err() })
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -18,7 +18,8 @@
 // is reached, another one without a request is closed: first the oldest that has not sent one
 // yet, then the one that has been idle longest. If all are in use, the new one is closed.
 type Limit struct {
-	max int
+	max    int
+	strict bool
 
 	mu   sync.Mutex
 	open map[*conn]*list.Element
@@ -31,6 +32,14 @@
 	return &Limit{max: max, open: map[*conn]*list.Element{}, fresh: list.New(), idle: list.New()}
 }
 
+// NewStrict returns a limit of at most max connections that closes the new connection whenever
+// it is reached. It suits connections that are kept for long and carry many calls.
+func NewStrict(max int) *Limit {
+	l := New(max)
+	l.strict = true
+	return l
+}
+
 // Listen returns a listener whose connections are bounded by the limit.
 func (l *Limit) Listen(inner net.Listener) net.Listener { return &listener{inner, l} }
 
@@ -75,7 +84,10 @@
 		closedConnections.Add("new", 1)
 		return false
 	}
-	l.open[c] = l.fresh.PushBack(c)
+	l.open[c] = nil
+	if !l.strict {
+		l.open[c] = l.fresh.PushBack(c)
+	}
 	return true
 }
 
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -87,3 +87,23 @@
 	}
 	g.Expect(closed(dial(g, address, "/"), openFor)).To(BeFalse())
 }
+
+// Guards against strangers that push out the connections of known processes.
+func TestAStrictLimitClosesTheNewConnection(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	listener := connlimit.NewStrict(1).Listen(inner)
+	defer listener.Close()
+	go func() {
+		for {
+			if _, err := listener.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	first, second := dial(g, inner.Addr().String(), ""), dial(g, inner.Addr().String(), "")
+	defer first.Close()
+	g.Expect(closed(second, closedWithin)).To(BeTrue())
+	g.Expect(closed(first, openFor)).To(BeFalse())
+}
--- a/endpoint/process.go
+++ b/endpoint/process.go
@@ -99,7 +99,7 @@
 	process.AddDuty("runtime", p.config.Runtime.Run)
 	p.node.AddDuties(&process)
 	process.AddDuty("claims", p.ledger.Maintain)
-	process.AddDuty("grpc", func(context.Context) error { return server.Serve(listener) })
+	process.AddDuty("grpc", func(context.Context) error { return server.Serve(peers.Limit(listener)) })
 	if p.weights != nil {
 		process.AddDuty("spread", p.spreader.Run)
 		process.AddDuty("region links", p.spreader.Govern)
--- a/entry/process.go
+++ b/entry/process.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/zinniaseam/zinniaseam/connlimit"
 	"github.com/zinniaseam/zinniaseam/goruntime"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/node"
@@ -24,6 +25,10 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// maxCallerConnections and maxOperatorConnections bound the open connections. If a listener
+	// is full, connections without a request are closed first.
+	maxCallerConnections   = 4096
+	maxOperatorConnections = 64
 )
 
 // Config is the configuration of an entry process.
@@ -68,7 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
-	callerServer, callerListener, err := listenHTTP(p.config.CallerListen, p.callers.Handler())
+	callerServer, callerListener, err := listenHTTP(p.config.CallerListen, p.callers.Handler(), maxCallerConnections)
 	if err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
@@ -83,7 +88,7 @@
 	process.AddDuty("runtime", p.config.Runtime.Run)
 	p.node.AddDuties(&process)
 	process.AddDuty("platform", p.syncer.Run)
-	process.AddDuty("grpc", func(context.Context) error { return grpcServer.Serve(peerListener) })
+	process.AddDuty("grpc", func(context.Context) error { return grpcServer.Serve(peers.Limit(peerListener)) })
 	process.AddDuty("callers", func(context.Context) error { return serveHTTP(callerServer, callerListener) })
 	process.AddDuty("operators", func(context.Context) error { return serveHTTP(operatorServer, operatorListener) })
 	process.AddStop("readiness", p.drainCallers)
@@ -108,20 +113,23 @@
 
 // listenOperators opens the operator listener, with TLS if configured.
 func (p *Process) listenOperators() (*http.Server, net.Listener, error) {
-	server, listener, err := listenHTTP(p.config.OperatorListen, p.operator)
+	server, listener, err := listenHTTP(p.config.OperatorListen, p.operator, maxOperatorConnections)
 	if err != nil || !p.config.OperatorTLS {
 		return server, listener, err
 	}
 	return server, tls.NewListener(listener, p.node.Certs.ListenerConfig()), nil
 }
 
-func listenHTTP(addr string, handler http.Handler) (*http.Server, net.Listener, error) {
+func listenHTTP(addr string, handler http.Handler, maxConnections int) (*http.Server, net.Listener, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return server, listener, nil
+	limit := connlimit.New(maxConnections)
+	server := &http.Server{
+		Handler: handler, ConnState: limit.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return server, limit.Listen(listener), nil
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -163,7 +163,7 @@
 	peerpb.RegisterGatewayServer(server, lender)
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
-	return server.Serve(listener)
+	return server.Serve(peers.Limit(listener))
 }
 
 // setTarget records the declared target and the engines that need it. Targets of an
--- a/metrics/serve.go
+++ b/metrics/serve.go
@@ -9,10 +9,21 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/zinniaseam/zinniaseam/connlimit"
 )
 
-// readHeaderTimeout bounds the reading of a request's headers.
-const readHeaderTimeout = 5 * time.Second
+// Bounds on what clients hold.
+const (
+	// readTimeout bounds the reading of a request, writeTimeout also that of its response.
+	readTimeout  = 5 * time.Second
+	writeTimeout = 10 * time.Second
+	// idleTimeout is longer than the interval at which metrics are usually read.
+	idleTimeout = 2 * time.Minute
+	// maxHeadBytes bounds the head of a request, to which net/http adds 4 KiB.
+	maxHeadBytes   = 8 << 10
+	maxConnections = 32
+)
 
 // Serve serves all expvar variables under /debug/vars at address until ctx is
 // done. If it can't listen there, it logs a warning and waits for ctx, so that the
@@ -26,10 +37,13 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	limit := connlimit.New(maxConnections)
+	server := &http.Server{
+		Handler: mux, ConnState: limit.ConnState, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(limit.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return ctx.Err()
