entry: one memory budget for the bodies of calls

Cause: nothing bounded the bodies that an entry holds together, and a body that stopped short of its end was waited for without end.

Change: the gateway's reading of bodies moves to forward.ReceiveBody, and the entry uses it with a budget of 48 MiB. A body has the caller's deadline to arrive. Calls without memory get no_memory with 0.2 s; with an idempotency key their outcome is unknown, as for other rejections before the claim is read. Counter entry_unread.

--- a/entry/caller_api.go
+++ b/entry/caller_api.go
@@ -4,9 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"path"
 	"strconv"
 	"strings"
@@ -17,7 +18,10 @@
 	"github.com/google/uuid"
 
 	"github.com/zinniaseam/zinniaseam/adapters/engine"
+	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
+	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/node"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 )
@@ -35,6 +39,10 @@
 const (
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes = 1 << 20
+	// bodyMemory bounds the bodies of all calls, in bytes. noMemoryRetryAfter is when a call
+	// without memory may be repeated: another entry may have some.
+	bodyMemory         = 48 << 20
+	noMemoryRetryAfter = 200 * time.Millisecond
 	// MaxMessages is the maximum number of messages in a chat completion.
 	MaxMessages = 1024
 	// MaxNameBytes is the maximum length of a model name and of header values that
@@ -49,6 +57,13 @@
 	MaxDeadline = 10 * time.Minute
 )
 
+// unreadTimeout bounds the reading of a body whose request has been rejected: net/http discards up
+// to 256 KiB of it before it closes the connection.
+const unreadTimeout = 500 * time.Millisecond
+
+// unreadCalls counts requests that were rejected before their body had been read.
+var unreadCalls = expvar.NewMap("entry_unread")
+
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Outcome      string         `json:"outcome"`
@@ -62,12 +77,14 @@
 type CallerAPI struct {
 	node       *node.Node
 	dispatcher *Dispatcher
-	draining   atomic.Bool
+	// memory is the budget for the bodies of calls.
+	memory   *membudget.Budget
+	draining atomic.Bool
 }
 
 // NewCallerAPI returns a caller API that runs its calls with dispatcher.
 func NewCallerAPI(n *node.Node, dispatcher *Dispatcher) *CallerAPI {
-	return &CallerAPI{node: n, dispatcher: dispatcher}
+	return &CallerAPI{node: n, dispatcher: dispatcher, memory: membudget.New(bodyMemory)}
 }
 
 // Drain makes the readiness check fail, so that the load balancer stops sending new
@@ -140,10 +157,11 @@
 
 // chat serves a chat completion.
 func (a *CallerAPI) chat(request *restful.Request, response *restful.Response) {
-	call := a.beginCall(request, response)
+	call, holder := a.beginCall(request, response)
 	if call == nil {
 		return
 	}
+	defer holder.Close()
 	var body engine.ChatRequest
 	if err := json.Unmarshal(call.Body, &body); err != nil {
 		a.writeRefusal(response.ResponseWriter, call.ID, http.StatusBadRequest, core.NotRun(core.ReasonBadRequest, 0, "the body is not a chat completion: %v", err))
@@ -180,18 +198,19 @@
 	return nil
 }
 
-// beginCall reads the part of a request that is common to all calls. It returns nil if
-// it has rejected the request.
-func (a *CallerAPI) beginCall(request *restful.Request, response *restful.Response) *Call {
-	call, refusal := a.readCall(request.Request)
+// beginCall reads the part of a request that is common to all calls. It returns nil if it has
+// rejected the request. The holder must be closed when the call has ended.
+func (a *CallerAPI) beginCall(request *restful.Request, response *restful.Response) (*Call, *membudget.Holder) {
+	call, holder, refusal := a.readCall(response.ResponseWriter, request.Request)
 	if refusal != nil {
 		a.writeRefusal(response.ResponseWriter, "", statusOf(refusal), refusal)
-		return nil
+		return nil, nil
 	}
 	if a.rejectUnconfigured(response.ResponseWriter, call) {
-		return nil
+		holder.Close()
+		return nil, nil
 	}
-	return call
+	return call, holder
 }
 
 // rejectUnconfigured rejects a request while this entry has no configuration. A request
@@ -211,10 +230,11 @@
 
 // serviceCall forwards a call to a plain service.
 func (a *CallerAPI) serviceCall(request *restful.Request, response *restful.Response) {
-	call := a.beginCall(request, response)
+	call, holder := a.beginCall(request, response)
 	if call == nil {
 		return
 	}
+	defer holder.Close()
 	name := core.ServiceID(request.PathParameter("service"))
 	view := a.node.View()
 	route := view.Index.RouteForService(name)
@@ -287,36 +307,56 @@
 	return forwarded
 }
 
-// readCall reads and validates the body and the headers that all calls share.
-func (a *CallerAPI) readCall(request *http.Request) (*Call, *core.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, MaxBodyBytes))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, core.NotRun(core.ReasonTooLarge, 0, "the body has more than %d bytes", MaxBodyBytes)
-		}
-		return nil, core.NotRun(core.ReasonBadRequest, 0, "the body can't be read")
-	}
+// readCall reads and validates the headers that all calls share, and the body.
+func (a *CallerAPI) readCall(writer http.ResponseWriter, request *http.Request) (*Call, *membudget.Holder, *core.Refusal) {
 	for _, name := range []string{headerKey, headerTeam, headerRequest} {
 		if len(request.Header.Get(name)) > MaxNameBytes {
-			return nil, core.NotRun(core.ReasonTooLarge, 0, "header %s has more than %d bytes", name, MaxNameBytes)
+			return nil, nil, core.NotRun(core.ReasonTooLarge, 0, "header %s has more than %d bytes", name, MaxNameBytes)
 		}
 	}
 	timeout, err := readDeadline(request.Header.Get(headerDeadline))
 	if err != nil {
-		return nil, core.NotRun(core.ReasonBadRequest, 0, "%v", err)
+		return nil, nil, core.NotRun(core.ReasonBadRequest, 0, "%v", err)
 	}
 	if _, err := core.ParsePriority(request.Header.Get(headerPriority)); err != nil {
-		return nil, core.NotRun(core.ReasonBadRequest, 0, "header %s: %v", headerPriority, err)
+		return nil, nil, core.NotRun(core.ReasonBadRequest, 0, "header %s: %v", headerPriority, err)
 	}
 	id := core.RequestID(request.Header.Get(headerRequest))
 	if id == "" {
 		id = core.RequestID(uuid.NewString())
 	}
+	body, holder, err := forward.ReceiveBody(writer, request, MaxBodyBytes, timeout, a.memory, boottime.Now)
+	if err != nil {
+		return nil, nil, unreadRefusal(writer, request, err)
+	}
 	return &Call{
-		ID: id, Body: body, Deadline: time.Now().Add(timeout),
+		ID: id, Body: body.Bytes(), Deadline: time.Now().Add(timeout),
 		Team: core.TeamID(request.Header.Get(headerTeam)), IdempotencyKey: request.Header.Get(headerKey),
-	}, nil
+	}, holder, nil
+}
+
+// unreadRefusal rejects a request whose body has not been read to its end, and closes its
+// connection. If it has an idempotency key, an earlier request with the same key may have run.
+func unreadRefusal(writer http.ResponseWriter, request *http.Request, err error) *core.Refusal {
+	writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(unreadTimeout)) // not all writers support deadlines
+	var refusal *core.Refusal
+	switch {
+	case forward.TooLong(err):
+		return core.NotRun(core.ReasonTooLarge, 0, "the body has more than %d bytes", MaxBodyBytes)
+	case forward.NoMemory(err):
+		unreadCalls.Add("no_memory", 1)
+		refusal = core.NotRun(core.ReasonNoMemory, noMemoryRetryAfter, "no memory for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		unreadCalls.Add("too_slow", 1)
+		refusal = core.NotRun(core.ReasonBadRequest, 0, "the body did not arrive in time")
+	default:
+		return core.NotRun(core.ReasonBadRequest, 0, "the body can't be read")
+	}
+	if request.Header.Get(headerKey) != "" {
+		refusal.Kind = core.OutcomeUnknown
+	}
+	return refusal
 }
 
 func readDeadline(text string) (time.Duration, error) {
--- a/forward/received.go
+++ b/forward/received.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/membudget"
@@ -43,6 +45,14 @@
 	return io.MultiReader(readers...)
 }
 
+// Bytes returns the body in one piece, which is a copy unless it has a single segment.
+func (b Body) Bytes() []byte {
+	if len(b) == 1 {
+		return b[0]
+	}
+	return bytes.Join(b, nil)
+}
+
 // ReservedBytes returns the memory that ReadBody needs to begin with a body of length bytes, -1 if
 // the length is not known.
 func ReservedBytes(length int64) int64 {
@@ -104,3 +114,72 @@
 		}
 	}
 }
+
+// errEvicted means that a client made no progress while others lacked memory.
+var errEvicted = fmt.Errorf("%w: the client stalled while memory was short", errNoBodyMemory)
+
+// ReceiveBody reads the body of a request, of at most limit bytes, within timeout. The holder must be
+// closed when the body is no longer needed. TooLong and NoMemory tell why the body was not
+// received; the error wraps os.ErrDeadlineExceeded if the client was too slow. If the length is
+// announced, a body that is too long or finds no memory is not read at all.
+func ReceiveBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, memory *membudget.Budget, now boottime.Clock) (Body, *membudget.Holder, error) {
+	if r.ContentLength > limit {
+		return nil, nil, fmt.Errorf("%w: %d bytes, at most %d", errBodyTooLong, r.ContentLength, limit)
+	}
+	c := &clientBody{body: r.Body, controller: http.NewResponseController(w), until: time.Now().Add(timeout), now: now}
+	size := ReservedBytes(r.ContentLength)
+	if c.holder = memory.Open(membudget.Request, size, now(), c.giveUp); c.holder == nil {
+		return nil, nil, fmt.Errorf("%w: %d bytes wanted, %d of %d in use", errNoBodyMemory, size, memory.Used(), memory.Capacity())
+	}
+	c.holder.Begin(now())
+	body, err := ReadBody(c, r.ContentLength, limit, c.holder, now)
+	if !c.holder.Settle() {
+		err = errEvicted
+	}
+	if err == nil {
+		err = c.setReadDeadline(time.Time{})
+	}
+	if err != nil {
+		c.holder.Close()
+		return nil, nil, fmt.Errorf("body: %w", err)
+	}
+	return body, c.holder, nil
+}
+
+// clientBody reads the body of a request. A read fails when the client's time is over, or when
+// the transfer has stalled.
+type clientBody struct {
+	body       io.Reader
+	controller *http.ResponseController
+	holder     *membudget.Holder
+	until      time.Time
+	now        boottime.Clock
+}
+
+// Read implements io.Reader.
+func (c *clientBody) Read(into []byte) (int, error) {
+	deadline := time.Now().Add(c.holder.Deadline().Sub(c.now()))
+	if c.until.Before(deadline) {
+		deadline = c.until
+	}
+	if err := c.setReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	// giveUp may have come before the deadline was set.
+	if c.holder.Evicted() {
+		return 0, errEvicted
+	}
+	return c.body.Read(into)
+}
+
+// giveUp makes the present read fail.
+func (c *clientBody) giveUp() { _ = c.setReadDeadline(time.Now()) }
+
+// setReadDeadline sets the read deadline of the connection. Writers without a connection, such as
+// those of tests, have none.
+func (c *clientBody) setReadDeadline(deadline time.Time) error {
+	if err := c.controller.SetReadDeadline(deadline); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -115,9 +115,9 @@
 func (g *Gateway) rejectUnread(w http.ResponseWriter, r *http.Request, err error) {
 	status, reason := http.StatusBadRequest, core.ReasonBadRequest
 	switch {
-	case errors.Is(err, errTooLarge):
+	case forward.TooLong(err):
 		status, reason = http.StatusRequestEntityTooLarge, core.ReasonTooLarge
-	case errors.Is(err, errNoMemory):
+	case forward.NoMemory(err):
 		status, reason = http.StatusServiceUnavailable, core.ReasonNoMemory
 		g.dialect.SetRetryAfter(w.Header(), elsewhereRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
