--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/membudget"
 )
 
 const (
@@ -63,26 +64,30 @@
 	return written, nil
 }
 
+// rejectedReadTimeout bounds the reading of a body whose request has been rejected. net/http
+// discards up to 256 KiB of it before it closes the connection.
+const rejectedReadTimeout = 500 * time.Millisecond
+
+// errEvicted means that the caller made no progress while others lacked memory.
+var errEvicted = errors.New("the caller stalled while memory was short")
+
 // readCall reads a call. Its body has to arrive within the time that the caller waits for its
-// answer.
-func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, maxBody int64) (*forward.Call, error) {
+// answer. The holder, which is nil for a call without a body, must be closed when the call has
+// ended.
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, maxBody int64) (*forward.Call, *membudget.Holder, error) {
 	if r.ContentLength == 0 {
-		return g.dialect.ReadCall(r, maxBody)
+		return g.dialect.ReadCall(r, nil), nil, nil
 	}
 	timeout := g.dialect.Timeout(r)
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, err
-	}
-	call, err := g.dialect.ReadCall(r, maxBody)
+	body, holder, err := forward.ReceiveBody(w, r, maxBody, timeout, g.memory, g.now)
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			stalledCallers.Add("body", 1)
 		}
-		return nil, err
+		return nil, nil, err
 	}
-	return call, controller.SetReadDeadline(time.Time{})
+	return g.dialect.ReadCall(r, body), holder, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,12 +16,14 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/connlimit"
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/explain"
 	"github.com/zinniaseam/zinniaseam/fleet"
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/lastcalls"
+	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/metastore"
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/peers"
@@ -33,12 +35,10 @@
 // endpoints.
 type Dialect interface {
 	forward.Dialect
-	// ReadCall reads a request with its body of at most maxBody bytes.
-	ReadCall(r *http.Request, maxBody int64) (*forward.Call, error)
+	// ReadCall returns the call of a request, whose body has been read.
+	ReadCall(r *http.Request, body forward.Body) *forward.Call
 	// Timeout returns how long the caller of a request waits, 0 if it does not say.
 	Timeout(r *http.Request) time.Duration
-	// TooLarge reports whether ReadCall returned err because the body was too large.
-	TooLarge(err error) bool
 	// PassHeaders copies the headers of an endpoint's answer that are passed on.
 	PassHeaders(to, from http.Header)
 	// SetRetryAfter sets the time after which a caller should retry.
@@ -73,7 +73,11 @@
 	MetricsListen string
 	// WatchWait bounds one watch request to the store.
 	WatchWait time.Duration
-	Relay     RelayConfig
+	// BodyMemory is the budget for the bodies of calls and answers in bytes, 0 for a default.
+	BodyMemory int64
+	// CallerConnections bounds the connections of callers, 0 for a default.
+	CallerConnections int
+	Relay             RelayConfig
 }
 
 // Gateway serves callers.
@@ -84,10 +88,13 @@
 	follower  *metastore.Follower
 	confirmer *confirmer
 	pool      *forward.Pool
-	scheduler *scheduler
-	budgets   *budgets
-	agents    *agents
-	relay     *relay
+	// memory is the budget for the bodies of calls and answers.
+	memory      *membudget.Budget
+	unreadLines *lineLimit
+	scheduler   *scheduler
+	budgets     *budgets
+	agents      *agents
+	relay       *relay
 	// quarantine keeps calls with harmful prompt parts away from engines.
 	quarantine *quarantineGuard
 	log        *log.Logger
@@ -111,8 +118,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.BodyMemory <= 0 {
+		config.BodyMemory = defaultBodyMemory
+	}
+	if config.CallerConnections <= 0 {
+		config.CallerConnections = defaultCallerConnections
+	}
+	memory := membudget.New(config.BodyMemory)
 	g := &Gateway{
-		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPool(),
+		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(),
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
@@ -144,6 +158,12 @@
 	callerIdleTimeout = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 10 * time.Second
+	// maxReadyConnections and maxReadyHeadBytes bound what readiness checks hold. net/http adds
+	// 4 KiB to a head.
+	maxReadyConnections = 64
+	maxReadyHeadBytes   = 4 << 10
+	// defaultCallerConnections bounds the connections of callers if the configuration does not.
+	defaultCallerConnections = 4096
 	// watchBatchDelay and maxWatchBatchDelay let successive changes of the store arrive
 	// in one response. Every time limit on applying changes leaves at least two seconds.
 	watchBatchDelay    = 150 * time.Millisecond
@@ -163,8 +183,15 @@
 	if err != nil {
 		return fmt.Errorf("readiness listener: %w", err)
 	}
-	callerServer := &http.Server{Handler: http.HandlerFunc(g.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes}
-	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	callerLimit, readyLimit := connlimit.New(g.config.CallerConnections), connlimit.New(maxReadyConnections)
+	callerServer := &http.Server{
+		Handler: http.HandlerFunc(g.serveCall), ConnState: callerLimit.ConnState,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+	readyServer := &http.Server{
+		Handler: http.HandlerFunc(g.serveReady), ConnState: readyLimit.ConnState,
+		ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxReadyHeadBytes,
+	}
 	var process kernel.Process
 	process.AddDuty("store", g.follower.Run)
 	process.AddDuty("metrics", func(ctx context.Context) error {
@@ -177,8 +204,10 @@
 	process.AddDuty("weights", g.relay.run)
 	process.AddDuty("spread", g.relay.spreader.Run)
 	process.AddDuty("sweep", g.sweep)
-	process.AddDuty("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callerListener{callers})) })
-	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(checks)) })
+	process.AddDuty("callers", func(context.Context) error {
+		return ignoreClosed(callerServer.Serve(callerLimit.Listen(callerListener{callers})))
+	})
+	process.AddDuty("readiness", func(context.Context) error { return ignoreClosed(readyServer.Serve(readyLimit.Listen(checks))) })
 	process.AddStop("leave", g.drain)
 	process.AddStop("callers", func(ctx context.Context) error { return g.closeCallers(ctx, callerServer) })
 	process.AddStop("readiness", func(context.Context) error { return readyServer.Close() })
