placement: only calls that are turned away carry the time of a standing queue

Cause: turnAway set StandingFor on the new call also when another team's call was rejected in its place, and on that call also when the new one was rejected for another reason. If the marked call was rejected later, it was counted as a rejection for a standing queue, and its Retry-After was computed without the wait that is open to it.

Change: only the call that is rejected for the queue is marked. Explain follows.

--- a/placement/explain.go
+++ b/placement/explain.go
@@ -168,12 +168,12 @@
 	var victim *Ticket
 	if p.drainsQueues(request.Service) {
 		q := p.copyOfQueue(now, queueKey{request.Service, request.Priority})
-		if victim = p.drainVictim(now, ticket, &q); victim != nil {
-			ticket.decision.StandingFor = now.Sub(q.shortAt)
-			x.StandingFor = ticket.decision.StandingFor
+		if victim = p.drainVictim(now, ticket, &q); victim != nil && (admitted || victim == ticket) {
+			x.StandingFor = now.Sub(q.shortAt)
 		}
 	}
 	if !admitted || victim == ticket {
+		ticket.decision.StandingFor = x.StandingFor
 		x.Verdict, x.Reason = Reject, core.ReasonOverloaded
 		return
 	}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -204,7 +204,7 @@
 		return ticket
 	}
 	ahead, admitted := p.admits(now, ticket, index)
-	victim := p.turnAway(now, ticket)
+	victim := p.turnAway(now, ticket, admitted)
 	if !admitted || victim == ticket {
 		p.reject(now, ticket, core.ReasonOverloaded, ahead)
 		return ticket
--- a/placement/standing.go
+++ b/placement/standing.go
@@ -94,18 +94,19 @@
 
 // turnAway returns the call that is rejected so that a standing queue drains, nil if none is: a
 // new call that would have to wait or, if another team has more calls waiting than its own, the
-// last of those. A call that has been sent or answered in part is not rejected.
-func (p *Placer) turnAway(now boottime.Instant, ticket *Ticket) *Ticket {
+// last of those. A call that has been sent or answered in part is not rejected. admitted is set if
+// the new call is not rejected for another reason; otherwise no waiting call is.
+func (p *Placer) turnAway(now boottime.Instant, ticket *Ticket, admitted bool) *Ticket {
 	request := &ticket.Request
 	if !p.drainsQueues(request.Service) {
 		return nil
 	}
 	q := p.queueOf(now, request)
 	victim := p.drainVictim(now, ticket, q)
-	if victim != nil {
-		ticket.decision.StandingFor = now.Sub(q.shortAt)
-		victim.decision.StandingFor = now.Sub(q.shortAt)
+	if victim == nil || victim != ticket && !admitted {
+		return nil
 	}
+	victim.decision.StandingFor = now.Sub(q.shortAt)
 	return victim
 }
 
--- a/placement/standing_test.go
+++ b/placement/standing_test.go
@@ -184,3 +184,28 @@
 	again.Tried = append(again.Tried, "another")
 	g.Expect(r.placer.Submit(r.now, again).Decision().Verdict).NotTo(Equal(placement.Reject))
 }
+
+// Guards against calls that wait, or are rejected later for another reason, being marked as
+// rejected for a standing queue: the counter of these rejections and the times to come back
+// were wrong.
+func TestOnlyCallsThatAreTurnedAwayHaveATimeOfStanding(t *testing.T) {
+	g := NewWithT(t)
+	r := newLoadReplay(true)
+	r.grant(12)
+	kinds := slices.Repeat([]placement.Request{{Team: "large"}}, 9)
+	displaced := 0
+	for range 2000 {
+		r.run(70, 5*time.Millisecond, append(kinds, placement.Request{Team: "small"})...)
+		for ticket := range r.waiting {
+			if ticket.Decision().Verdict == placement.Wait {
+				g.Expect(ticket.Decision().StandingFor).To(BeZero())
+			}
+		}
+	}
+	for _, ticket := range r.afterWait {
+		if ticket.Decision().StandingFor > 0 {
+			displaced++
+		}
+	}
+	g.Expect(displaced).To(BeNumerically(">", 0))
+}
