placement: a gateway without slots has no standing queue

Cause: a queue counted as standing one interval after the first call waited, also at a gateway that had no slots in all that time. A gateway that had just started, or whose engines were not ready, turned calls away whose callers had time to wait for the first slot.

Change: a call that arrives while the process has no slots starts the interval again.

Measured: TestAGatewayWithoutSlotsHasAStandingQueue, six calls in 2.4 s without slots: calls turned away before, none after.

--- a/placement/standing.go
+++ b/placement/standing.go
@@ -34,7 +34,7 @@
 // arrivals equal departures: each caller waits for the whole queue. Once the queue has run
 // empty, the same number of callers is answered with hardly any wait.
 type standingQueue struct {
-	// shortAt is when a new call last found the queue empty.
+	// shortAt is when a new call last found the queue empty, or the process without slots.
 	shortAt boottime.Instant
 	// draining is set from when the queue counts as standing until it is short again. Calls
 	// that would wait are rejected meanwhile.
@@ -124,7 +124,8 @@
 			waiting++
 		}
 	}
-	if waiting == 0 {
+	// Calls that wait for the first slot of this process are served when it comes.
+	if waiting == 0 || !p.capacityOf(now, request.Service).granted {
 		q.short(now)
 	}
 	if !q.update(now, p.drainInterval(request.Service)) || !request.mayBeTurnedAway() {
--- a/placement/standing_test.go
+++ b/placement/standing_test.go
@@ -209,3 +209,21 @@
 	}
 	g.Expect(displaced).To(BeNumerically(">", 0))
 }
+
+// Guards against a gateway without slots that turns calls away as if its queue were standing,
+// while their callers have time to wait for slots.
+func TestAGatewayWithoutSlotsHasAStandingQueue(t *testing.T) {
+	g := NewWithT(t)
+	r := newLoadReplay(true)
+	r.grant(0)
+	for range 6 {
+		r.note(r.placer.Submit(r.now, call(r.now)), r.now)
+		r.now = r.now.Add(400 * time.Millisecond)
+		r.grant(0)
+		for _, ticket := range r.placer.Pump(r.now) {
+			r.note(ticket, r.waiting[ticket])
+		}
+	}
+	g.Expect(r.atOnce).To(BeEmpty())
+	g.Expect(r.afterWait).To(BeEmpty())
+}
