placement: a borrowed slot is only for a call of the engine's service

Cause: gateways now borrow for the first waiting call. If its caller leaves while another gateway is asked, placeWaiting gives the slot to the first call that still waits, which may be for another service. PlaceBorrowed checked homes, attempts and weights, not the service, so that a call could be sent to an engine of a service that it is not for. The same held for an engine named wrongly in a peer's reply.

Change: PlaceBorrowed places no call of another service; the slot is given back.

Measured: TestASlotIsBorrowedForACallOfAnotherService placed the call on e0 before, and not after.

--- a/placement/lend.go
+++ b/placement/lend.go
@@ -53,11 +53,11 @@
 
 // PlaceBorrowed places a call in a slot of another process, to be sent before sendBy: the ticket
 // for which the slot was borrowed, or the first waiting call that goes before it. It returns
-// the ticket that was placed; nil if the one given is placed already, or if according to this
-// process's view the endpoint cannot run any of them.
+// the ticket that was placed; nil if the one given is placed already or is for another service, or
+// if according to this process's view the endpoint cannot run any of them.
 func (p *Placer) PlaceBorrowed(now boottime.Instant, ticket *Ticket, id fleet.EndpointID, expected time.Duration, sendBy boottime.Instant) *Ticket {
 	e := p.endpoints[id]
-	if ticket.endpoint != nil || e == nil || !p.usable(now, e) {
+	if ticket.endpoint != nil || e == nil || e.Service != ticket.Request.Service || !p.usable(now, e) {
 		return nil
 	}
 	first := p.firstFor(now, e, ticket)
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -61,3 +61,14 @@
 	g.Expect(demand.Ranked[0] + demand.Ranked[2]).To(BeNumerically("~", demand.Calls, 0.01))
 	g.Expect(rankedPlacer(false).SlotDemand(start)["10.0.0.1:80"].Ranked).To(HaveEach(BeZero()))
 }
+
+// Guards against a waiting call that is placed on an engine of another service: the call for
+// which the slot was borrowed has left, and the next waiting one is for another service.
+func TestASlotIsBorrowedForACallOfAnotherService(t *testing.T) {
+	g := NewWithT(t)
+	p := rankedPlacer(true)
+	other := call(start)
+	other.Service = "other"
+	ticket := placement.Ticket{Request: other}
+	g.Expect(p.PlaceBorrowed(start, &ticket, "e0", 50*time.Millisecond, start.Add(time.Second))).To(BeNil())
+}
