placement: an own call below the lowest rank keeps slots from being lent

Cause: declared priorities are not bounded, ranks in messages are. A waiting call of a declared priority of 11 compared as behind a peer's call of any rank, and behind one whose message has no rank, which is lent a slot only if no call waits.

Change: Lend compares the rank of the own call.

Measured: TestASlotIsLentBeforeAnOwnCallBelowTheLowestRank, ranks 9 and 10: lent before, not after.

--- a/placement/lend.go
+++ b/placement/lend.go
@@ -6,6 +6,7 @@
 
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/fleet"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 // Lend lends one of this process's free slots to another process for a request. The
@@ -20,7 +21,7 @@
 	p.nextPass()
 	ticket := &Ticket{Request: request, arrived: now}
 	if slices.ContainsFunc(p.queue, func(own *Ticket) bool {
-		return own.Request.Service == request.Service && (!p.config.Contention || own.Request.Priority <= request.Priority)
+		return own.Request.Service == request.Service && (!p.config.Contention || slotshare.Rank(own.Request.Priority) <= request.Priority)
 	}) {
 		return nil
 	}
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/placement"
+	"github.com/zinniaseam/zinniaseam/slotshare"
 )
 
 // rankedPlacer returns a placer with all slots of an engine in its region and none of one in
@@ -72,3 +73,18 @@
 	ticket := placement.Ticket{Request: other}
 	g.Expect(p.PlaceBorrowed(start, &ticket, "e0", 50*time.Millisecond, start.Add(time.Second))).To(BeNil())
 }
+
+// Guards against a slot that is lent to a peer that tells no rank, or the lowest one, while an
+// own call of an even lower declared priority waits.
+func TestASlotIsLentBeforeAnOwnCallBelowTheLowestRank(t *testing.T) {
+	g := NewWithT(t)
+	p := rankedPlacer(true)
+	waiting := call(start)
+	waiting.Priority, waiting.Homes = slotshare.Ranks+1, [][]core.RegionID{{"r1"}}
+	g.Expect(p.Submit(start, waiting).Decision().Verdict).To(Equal(placement.Wait))
+	for _, rank := range []int{slotshare.Ranks - 1, slotshare.Ranks} {
+		request := call(start)
+		request.Priority = rank
+		g.Expect(p.Lend(start, request)).To(BeNil(), "rank %d", rank)
+	}
+}
