gateway: a demand whose ranks have changed is sent at once

Cause: between repetitions a demand was sent only if the running calls or the total had changed. Where calls of one rank were followed by as many of another, agents divided slots by the old ranks for up to 1 s, 0.5 s with leased call starts.

Change: a change of one rank by more than demandThreshold of the total is also sent. Without ranks nothing changes.

The number of messages in a play was not measured.

--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -62,6 +62,21 @@
 	return want
 }
 
+// demandChanged reports whether a demand is sent before the next repetition. The calls of each
+// rank are compared too: the rank decides before the total.
 func demandChanged(sent *peerpb.SlotWant, demand slotshare.Demand) bool {
-	return int(sent.GetOpen()) != demand.Open || math.Abs(float64(sent.GetCalls())-demand.Calls) > demandThreshold*demand.Calls
+	threshold := demandThreshold * demand.Calls
+	if int(sent.GetOpen()) != demand.Open || math.Abs(float64(sent.GetCalls())-demand.Calls) > threshold {
+		return true
+	}
+	for rank, calls := range demand.Ranked {
+		before := 0.0
+		if rank < len(sent.GetRanked()) {
+			before = float64(sent.GetRanked()[rank])
+		}
+		if math.Abs(before-calls) > threshold {
+			return true
+		}
+	}
+	return false
 }
