gateway, placement: slots are requested for waiting calls of each service and home in turn

Cause: while calls wait, slots of other gateways were requested only for the first of them. If it may only run in regions without slots, or no gateway has one for its service, all calls behind it stopped borrowing for as long as it waited.

Change: NextToBorrow (was FirstToBorrow) takes turns among the services and homes of the waiting calls, and returns the first call of each. With a single service and no homes it is the first call, as before.

Measured: TestSlotsAreOnlyRequestedForTheFirstWaitingCall; the function before always returned the first waiting call. Go test -race ./gateway -run 'Borrow|Lend|Lent|Slot|Waiting' passes.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -37,6 +37,8 @@
 	lender *lender
 	// borrowing is set while a slot is requested for the waiting calls.
 	borrowing atomic.Bool
+	// lastBorrower is the waiting call for which a slot was requested last.
+	lastBorrower *placement.Ticket
 }
 
 func newScheduler(placer *placement.Placer, now boottime.Clock) *scheduler {
@@ -64,15 +66,20 @@
 	}
 }
 
-// borrowForWaiting requests a slot of another gateway for the first waiting call. At most one
-// request is in progress.
+// borrowForWaiting requests a slot of another gateway for a waiting call. At most one request is in
+// progress.
 func (s *scheduler) borrowForWaiting(ctx context.Context) {
+	if s.borrowing.Load() {
+		return // run is the only caller, so that no other request begins meanwhile
+	}
 	s.mu.Lock()
-	ticket := s.placer.FirstToBorrow()
+	ticket := s.placer.NextToBorrow(s.lastBorrower)
+	s.lastBorrower = ticket
 	s.mu.Unlock()
-	if ticket == nil || !s.borrowing.CompareAndSwap(false, true) {
+	if ticket == nil {
 		return
 	}
+	s.borrowing.Store(true)
 	go func() {
 		defer s.borrowing.Store(false)
 		s.lender.borrow(ctx, ticket, s.placeWaiting)
@@ -186,7 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, waits := s.waiting[ticket]; !waits {
-		ticket = s.placer.FirstToBorrow()
+		ticket = s.placer.NextToBorrow(nil)
 	}
 	if ticket == nil {
 		return nil
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -36,20 +36,35 @@
 	return ticket
 }
 
-// FirstToBorrow returns the first waiting call for an engine of a service with contended
-// slots, nil if none waits.
+// NextToBorrow returns the waiting call for an engine of a service with contended slots for which
+// a slot is requested next, nil if none waits: the first one of its service and homes. last is the
+// call for which one was requested before, nil for none. Services and homes take turns, since no
+// gateway may have a slot for those of the first call.
 //
 // Load pattern: arrivals are near the capacity and the slots of an engine are divided among
 // dozens of gateways. While calls wait at some of them, slots of others are free for some
 // hundred milliseconds: a sixth of all slots in a play. A call that has found no slot to borrow
 // when it arrived finds one while it waits.
-func (p *Placer) FirstToBorrow() *Ticket {
+func (p *Placer) NextToBorrow(last *Ticket) *Ticket {
+	var firsts []*Ticket
 	for _, ticket := range p.queue {
-		if p.drainsQueues(ticket.Request.Service) && p.runsEngines(ticket.Request.Service) {
-			return ticket
+		if p.drainsQueues(ticket.Request.Service) && p.runsEngines(ticket.Request.Service) && !slices.ContainsFunc(firsts, ticket.Request.sameEngines) {
+			firsts = append(firsts, ticket)
 		}
 	}
-	return nil
+	if len(firsts) == 0 {
+		return nil
+	}
+	next := 0
+	if last != nil {
+		next = slices.IndexFunc(firsts, last.Request.sameEngines) + 1
+	}
+	return firsts[next%len(firsts)]
+}
+
+// sameEngines reports whether another call is for the same service and homes.
+func (r *Request) sameEngines(other *Ticket) bool {
+	return r.Service == other.Request.Service && slices.EqualFunc(r.Homes, other.Request.Homes, slices.Equal)
 }
 
 // PlaceBorrowed places a call in a slot of another process, to be sent before sendBy: the ticket
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -88,3 +88,27 @@
 		g.Expect(p.Lend(start, request)).To(BeNil(), "rank %d", rank)
 	}
 }
+
+// Guards against a waiting call whose regions have no slots, for which slots are requested in vain
+// while calls behind it wait for engines of which another gateway has some.
+func TestSlotsAreOnlyRequestedForTheFirstWaitingCall(t *testing.T) {
+	g := NewWithT(t)
+	p := rankedPlacer(true)
+	grant(p, start, "10.0.0.1:80", 0)
+	restricted := call(start)
+	restricted.Homes = [][]core.RegionID{{"r1"}}
+	patient := call(start)
+	patient.Priority = 2
+	first, second, third, other := p.Submit(start, restricted), p.Submit(start, patient), p.Submit(start, patient), p.Submit(start, restricted)
+	for _, ticket := range []*placement.Ticket{first, second, third, other} {
+		g.Expect(ticket.Decision().Verdict).To(Equal(placement.Wait))
+	}
+	g.Expect(p.NextToBorrow(nil)).To(BeIdenticalTo(first))
+	g.Expect(p.NextToBorrow(first)).To(BeIdenticalTo(second))
+	g.Expect(p.NextToBorrow(second)).To(BeIdenticalTo(first))
+	p.Cancel(first)
+	p.Cancel(other)
+	g.Expect(p.NextToBorrow(first)).To(BeIdenticalTo(second), "one class is left")
+	g.Expect(p.NextToBorrow(second)).To(BeIdenticalTo(second))
+	g.Expect(rankedPlacer(false).NextToBorrow(nil)).To(BeNil())
+}
