gateway: an echoed clock from the future is no sample of a path

Cause: the clock that an agent returns was not bounded. A sample with a time in the future is newer than all that follow. Since samples of a region are shared, one such status of one agent ended the measurement of the delay of its whole region.

Change: such a sample counts as absent and in malformed_echoes.

Measured: TestASampleOfAPathComesFromTheFuture fails before and passes after.

--- a/gateway/status.go
+++ b/gateway/status.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"expvar"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -115,12 +116,20 @@
 	return int(status.GetGranted())
 }
 
-// pathSample returns the round trip of the last message that the agent has received.
+// malformedEchoes counts times in statuses at which this process cannot have sent a message.
+var malformedEchoes = expvar.NewInt("malformed_echoes")
+
+// pathSample returns the round trip of the last message that the agent has received. A sample of a
+// message from the future would count as newer than all that follow, for the whole region.
 func pathSample(now boottime.Instant, status *peerpb.EngineNews) placement.PathSample {
 	if status.GetEchoMs() == 0 {
 		return placement.PathSample{}
 	}
 	sent := boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond)
+	if status.GetEchoMs() > uint64(time.Duration(now).Milliseconds()) {
+		malformedEchoes.Add(1)
+		return placement.PathSample{}
+	}
 	held := time.Duration(status.GetEchoHeldMs()) * time.Millisecond
 	return placement.PathSample{SentAt: sent, RoundTrip: max(now.Sub(sent)-held, 0)}
 }
