entry: a body that is announced and never sent no longer holds a connection

Cause: net/http discards the body of a request that is answered without reading it, and the servers of the entry set no read deadline for that. A request with a malformed header, an unknown path, GET with a body, OPTIONS * or an unknown Expect held its connection for good if its body did not arrive. Such connections count as active, so that connlimit does not close them: 4,096 of them shut out callers, 64 shut out operators.

Change: ReadTimeout of both servers. Handlers that need the body set their own deadlines, and net/http clears the deadline at the end of a body.

--- a/entry/process.go
+++ b/entry/process.go
@@ -22,6 +22,8 @@
 
 // Limits of the HTTP servers.
 const (
+	// headerTimeout bounds the reading of a head, and that of a body that net/http discards. Handlers
+	// that need the body set deadlines of their own.
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
@@ -127,7 +129,8 @@
 	}
 	limit := connlimit.New(maxConnections)
 	server := &http.Server{
-		Handler: handler, ConnState: limit.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ConnState: limit.ConnState,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return server, limit.Listen(listener), nil
 }
