gateway: a body that is discarded has a read deadline

Cause: net/http answers OPTIONS * and requests with an unknown Expect itself and discards their bodies without a deadline. If the body never arrives, the connection is held for good and counts as active, so that connlimit does not close it. As many of them as the bound on connections shut out all callers.

Change: ReadTimeout of the callers' server. ReceiveBody sets the deadlines of the bodies of calls, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,7 +156,8 @@
 	// callerIdleTimeout is longer than callers keep idle connections, so that the
 	// callers close them.
 	callerIdleTimeout = 2 * time.Minute
-	// headerTimeout bounds the reading of a request's head.
+	// headerTimeout bounds the reading of a request's head, and that of a body that net/http
+	// discards. The body of a call has deadlines of its own.
 	headerTimeout = 10 * time.Second
 	// maxReadyConnections and maxReadyHeadBytes bound what readiness checks hold. net/http adds
 	// 4 KiB to a head.
@@ -186,7 +187,7 @@
 	callerLimit, readyLimit := connlimit.New(g.config.CallerConnections), connlimit.New(maxReadyConnections)
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serveCall), ConnState: callerLimit.ConnState,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes,
 	}
 	readyServer := &http.Server{
 		Handler: http.HandlerFunc(g.serveReady), ConnState: readyLimit.ConnState,
