placement: callers are told at once while no endpoint may start calls

Change: the rule holds only if an endpoint may start calls. Result: the new test fails with the former rule.

--- a/placement/standing.go
+++ b/placement/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -124,8 +125,9 @@
 			waiting++
 		}
 	}
-	// Calls that wait for the first slot of this process are served when it comes.
-	if waiting == 0 || !p.capacityOf(now, request.Service).granted {
+	// While no endpoint may start calls, an empty queue shows that callers have left. Calls that
+	// wait for the first slot of this process are served when it comes.
+	if p.startsCallsOf(now, request.Service) && (waiting == 0 || !p.capacityOf(now, request.Service).granted) {
 		q.short(now)
 	}
 	if !q.update(now, p.drainInterval(request.Service)) || !request.mayBeTurnedAway() {
@@ -140,6 +142,11 @@
 	return victim
 }
 
+// startsCallsOf reports whether an endpoint of a service may start calls.
+func (p *Placer) startsCallsOf(now boottime.Instant, service core.ServiceID) bool {
+	return slices.ContainsFunc(p.byService[service], func(e *endpointState) bool { return p.factsOf(now, e).permitted })
+}
+
 // mayBeTurnedAway reports whether a call has neither been sent nor answered in part.
 func (r *Request) mayBeTurnedAway() bool { return !r.Continues && len(r.Tried) == 0 }
 
--- a/placement/standing_test.go
+++ b/placement/standing_test.go
@@ -227,3 +227,20 @@
 	g.Expect(r.atOnce).To(BeEmpty())
 	g.Expect(r.afterWait).To(BeEmpty())
 }
+
+// Load pattern: the engines' weights are too old to start calls, and newer ones arrive seconds
+// later. Guards against callers who wait for all the time that they have and are rejected then.
+func TestCallersWaitInVainWhileNoEngineMayStartCalls(t *testing.T) {
+	g := NewWithT(t)
+	r := newLoadReplay(true)
+	r.grant(12)
+	r.run(40, 2*time.Second, placement.Request{})
+	for _, address := range []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"} {
+		r.placer.UpdateEngine(placement.EngineStatus{Address: address, Boot: 1, Version: 1, Loading: true, Granted: 12, At: r.now})
+	}
+	r.run(40, 5*time.Second, placement.Request{}) // those who came before the queue stood leave
+	former := len(r.afterWait)
+	r.run(40, 4*time.Second, placement.Request{})
+	g.Expect(r.atOnce).NotTo(BeEmpty())
+	g.Expect(r.afterWait).To(HaveLen(former))
+}
