slotshare, gateway: findings of the review of pacing, memory and explain

Cause: slots also settled where engines are not paced; a slow caller of an answer under 4 MiB was seen to make progress too late; each explanation wrote a line without a bound. Change: settling is switched on with pacing; pieces of an answer are a 64th of it, of 4 to 64 KiB; lines about explanations are bounded like those about rejected bodies; an eviction between two pieces counts. Result: lint, ./slotshare, ./pacing, ./agent, and the tests of ./gateway about bodies, memory, answers and explanations pass.

--- a/agent/pace.go
+++ b/agent/pace.go
@@ -48,6 +48,7 @@
 		a.log.Info("Pacing of the engine changed.", "active", active, "limit", a.pace.controller.Limit(), "revision", declared.GetRevision(), "version", declared.GetVersion())
 	}
 	a.pace.active, a.pace.slots = active, int(declared.GetSlots())
+	a.divider.SetSettling(active)
 	a.paceChanged(a.pace.controller.SetSlots(boottime.Now(), a.pace.slots))
 	a.divider.SetSlots(a.dividedSlots())
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/forward"
+	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/metrics"
 	"github.com/zinniaseam/zinniaseam/placement"
 )
@@ -82,11 +83,13 @@
 		evicted.Store(true)
 		_ = controller.SetWriteDeadline(time.Now())
 	})
+	piece := min(answerPiece, max(callerPiece, len(body)/membudget.ProgressParts))
 	for len(body) > 0 {
 		if evicted.Load() {
+			stalledCallers.Add("evicted", 1)
 			return errEvicted
 		}
-		n, err := s.writer.Write(body[:min(answerPiece, len(body))])
+		n, err := s.writer.Write(body[:min(piece, len(body))])
 		if err != nil {
 			if evicted.Load() {
 				stalledCallers.Add("evicted", 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,10 +91,12 @@
 	// memory is the budget for the bodies of calls and answers.
 	memory      *membudget.Budget
 	unreadLines *lineLimit
-	scheduler   *scheduler
-	budgets     *budgets
-	agents      *agents
-	relay       *relay
+	// explainLines bounds the lines about explanations, which anybody on the network may request.
+	explainLines *lineLimit
+	scheduler    *scheduler
+	budgets      *budgets
+	agents       *agents
+	relay        *relay
 	// quarantine keeps calls with harmful prompt parts away from engines.
 	quarantine *quarantineGuard
 	log        *log.Logger
@@ -126,7 +128,7 @@
 	}
 	memory := membudget.New(config.BodyMemory)
 	g := &Gateway{
-		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(),
+		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(), explainLines: newLineLimit(),
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -10,12 +10,12 @@
 const (
 	// defaultBodyMemory is the budget for bodies if the configuration has none, in bytes.
 	defaultBodyMemory = 32 << 20
-	// unreadLinesPerSecond and unreadLinesBurst bound the log lines about requests that were
-	// rejected before they had been read. A crowd causes thousands of them in a second.
-	unreadLinesPerSecond = 20
-	unreadLinesBurst     = 100
-	// answerPiece is how much of a complete answer is written at once, in bytes. The caller's
-	// progress is measured after each piece.
+	// linesPerSecond and linesBurst bound the log lines of a kind that clients cause. A crowd
+	// that is rejected before its requests have been read causes thousands in a second.
+	linesPerSecond = 20
+	linesBurst     = 100
+	// answerPiece bounds how much of a complete answer is written at once, in bytes. The caller's
+	// progress is measured after each piece, so that small answers have smaller ones.
 	answerPiece = 64 << 10
 )
 
@@ -28,7 +28,7 @@
 }
 
 func newLineLimit() *lineLimit {
-	return &lineLimit{limiter: rate.NewLimiter(unreadLinesPerSecond, unreadLinesBurst)}
+	return &lineLimit{limiter: rate.NewLimiter(linesPerSecond, linesBurst)}
 }
 
 // take reports whether a line may be logged, and the number of lines that were not since the
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -34,9 +34,9 @@
 	// PressureTimeout is the same while another transfer lacks memory. Clients are known to
 	// give up a response after 2 s without data.
 	PressureTimeout = 2 * time.Second
-	// progressParts is the number of parts of a transfer of which each counts as progress. A
+	// ProgressParts is the number of parts of a transfer of which each counts as progress. A
 	// single byte now and then would keep a large buffer for hours.
-	progressParts = 64
+	ProgressParts = 64
 )
 
 // Shares of the capacity, in sixteenths, that transfers may use together with all others. Larger
@@ -201,7 +201,7 @@
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.fresh += int64(n)
-	if h.fresh >= max(1, h.size/progressParts) {
+	if h.fresh >= max(1, h.size/ProgressParts) {
 		h.movedAt, h.fresh = now, 0
 	}
 }
--- a/pacing/model_test.go
+++ b/pacing/model_test.go
@@ -89,6 +89,7 @@
 		bears: func(time.Duration) int { return bears }, up: func(time.Duration) bool { return true },
 		report: func(r pacing.Report) pacing.Report { return r }, onTick: func(time.Duration) {},
 	}
+	m.divider.SetSettling(limited)
 	if limited {
 		m.controller = pacing.New(epoch)
 		m.controller.SetSlots(epoch, declared)
--- a/slotshare/slotshare.go
+++ b/slotshare/slotshare.go
@@ -76,6 +76,8 @@
 	// last change if that was an increase.
 	divided   int
 	settledAt boottime.Instant
+	// settles is set if slots stay with their gateways for settleTime after an increase.
+	settles bool
 }
 
 // share is the state of one gateway.
@@ -98,6 +100,10 @@
 // SetSlots sets the number of calls that the endpoint runs at once.
 func (d *Divider) SetSlots(slots int) { d.slots = slots }
 
+// SetSettling sets whether slots stay with their gateways for a second after their number has
+// increased, as it does several times while an engine is paced.
+func (d *Divider) SetSettling(settles bool) { d.settles = settles }
+
 // SetDemand records the demand of a gateway.
 func (d *Divider) SetDemand(now boottime.Instant, gateway string, demand Demand) {
 	s := d.gateways[gateway]
@@ -134,7 +140,7 @@
 	switch {
 	case d.slots < d.divided:
 		d.settledAt = now
-	case d.slots > d.divided && d.divided > 0:
+	case d.settles && d.slots > d.divided && d.divided > 0:
 		d.settledAt = now.Add(settleTime)
 	}
 	d.divided = d.slots
--- a/slotshare/slotshare_test.go
+++ b/slotshare/slotshare_test.go
@@ -134,6 +134,8 @@
 		g := NewWithT(t)
 		name := fmt.Sprint("e", engine)
 		d, settled := slotshare.NewDivider(name), slotshare.NewDivider(name)
+		d.SetSettling(true)
+		settled.SetSettling(true)
 		now := start
 		demand := func() {
 			for gateway := range 37 {
@@ -173,6 +175,7 @@
 func TestNeverMoreSlotsAreGrantedThanThereAreWhenTheirNumberChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := slotshare.NewDivider("e")
+		d.SetSettling(rapid.Bool().Draw(t, "settles"))
 		now, number := start, slots
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			name := fmt.Sprint("g", rapid.IntRange(0, 8).Draw(t, "gateway"))
