placement, agent: the pace that an engine reports counts

Traced by engine: 7 of 68 take 2.5 times as long for as long as they run; they say so in their status reports, which agents read and nobody used, and got as many calls as the others. Change: agents pass the pace on; where standing queues are drained it scales predictions and the share of the demand, and calls whose answers would end after their deadline there go to others.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -255,7 +256,7 @@
 	a.boot = report.Boot
 	next := &peerpb.EngineNews{
 		Engine: a.config.EngineAddress, Boot: report.Boot, Running: uint32(report.Running), Waiting: uint32(report.Waiting),
-		Loading: report.Loading, Version: version, Leaving: report.Leaving,
+		Loading: report.Loading, Version: version, Leaving: report.Leaving, Pace: reportedPace(report.Pace),
 	}
 	if next.GetLeaving() && !(a.status.GetLeaving() && a.status.GetBoot() == next.GetBoot()) {
 		a.log.Info("The engine is about to stop; gateways are notified.", "boot", report.Boot, "running", report.Running, "waiting", report.Waiting)
@@ -290,7 +291,23 @@
 // that more often than every localLoadInterval.
 func sameButLoad(a, b *peerpb.EngineNews) bool {
 	return a.GetUnreachable() == b.GetUnreachable() && a.GetBoot() == b.GetBoot() && a.GetLoading() == b.GetLoading() &&
-		a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving()
+		a.GetVersion() == b.GetVersion() && a.GetLeaving() == b.GetLeaving() && a.GetPace() == b.GetPace()
+}
+
+const (
+	// paceStep is the resolution of the pace that followers are told. They are sent each change at
+	// once, so that smaller ones are left out.
+	paceStep = 0.25
+	// maxPace is the largest pace that an engine can plausibly report.
+	maxPace = 100
+)
+
+// reportedPace returns the pace that followers are told, 0 if the engine's report is not plausible.
+func reportedPace(pace float64) float32 {
+	if !(pace > 0 && pace <= maxPace) { // also false for NaN
+		return 0
+	}
+	return float32(max(math.Round(pace/paceStep), 1) * paceStep)
 }
 
 func sameLoad(a, b *peerpb.EngineNews) bool {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -21,7 +21,7 @@
 		lost := p.UpdateEngine(placement.EngineStatus{
 			Address: status.GetEngine(), Boot: status.GetBoot(), Running: int(status.GetRunning()), Waiting: int(status.GetWaiting()),
 			Loading: status.GetLoading(), Version: status.GetVersion(), Unreachable: status.GetUnreachable(), At: now,
-			Granted: grantedSlots(status), ClosesAt: closesAt(now, status), Path: pathSample(now, status),
+			Granted: grantedSlots(status), ClosesAt: closesAt(now, status), Path: pathSample(now, status), Pace: float64(status.GetPace()),
 		})
 		for _, ticket := range lost {
 			if cancel, open := s.open[ticket]; open {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -10,8 +10,8 @@
 )
 
 // best returns the endpoint with room and the earliest predicted first byte, that
-// prediction, and the number of eligible endpoints. Endpoints that are in backoff or
-// unresponsive are used only when no other endpoint is eligible, even if the others
+// prediction, and the number of eligible endpoints. Endpoints that are in backoff,
+// unresponsive or too slow for the answer are used only when no other endpoint is eligible, even if the others
 // have no room now. Endpoints that a call ahead is waiting for are left to it.
 //
 // Load pattern: the prompts that engines have to read permit small calls only. A large call
@@ -26,7 +26,7 @@
 		}
 		candidates++
 		tier := &fallback
-		if facts.preferred {
+		if facts.preferred && !e.outlasts(now, request) {
 			healthy++
 			tier = &preferred
 		}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -131,7 +131,7 @@
 // demandWeight is the weight of an engine in the division of the demand: less for those that are
 // far or have been slow for seconds.
 func (p *Placer) demandWeight(e *endpointState) float64 {
-	return p.proximityWeight(e) / e.speed.lasting()
+	return p.proximityWeight(e) / e.lastingSlowdown()
 }
 
 func meanCallTime(engines []*endpointState) time.Duration {
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -40,7 +40,10 @@
 	// Granted is the number of slots that this process may fill, as divided among the
 	// gateways by the agent. It is negative if the agent has not divided the slots.
 	Granted int
-	At      boottime.Instant
+	// Pace is how long work takes at the engine by its own report, 1 being as declared, 0 if it is
+	// unknown.
+	Pace float64
+	At   boottime.Instant
 	// Path is the newest measured round trip to the engine's VM.
 	Path PathSample
 }
@@ -81,7 +84,9 @@
 	// said is what the endpoint has said about itself.
 	said  notices.State
 	speed speed
-	facts facts
+	// usesPace is set if the pace that the agent reports is used.
+	usesPace bool
+	facts    facts
 }
 
 func newEndpointState(endpoint *fleet.Endpoint) *endpointState {
@@ -213,7 +218,7 @@
 	if ahead := calls - e.Slots + 1; ahead > 0 {
 		wait = time.Duration(ahead) * e.expectedCallTime() / time.Duration(e.Slots)
 	}
-	slowdown := e.speed.now(now)
+	slowdown := e.slowdown(now)
 	if e.profile == nil {
 		return scaled(wait+e.expectedCallTime(), slowdown)
 	}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -43,6 +43,8 @@
 	// failed there, or have waited far longer than predicted.
 	ObstacleBackingOff   Obstacle = "backing_off"
 	ObstacleUnresponsive Obstacle = "unresponsive"
+	// ObstacleTooSlow means that the engine is so slow that the answer would end after the deadline.
+	ObstacleTooSlow Obstacle = "too_slow"
 	// ObstacleRejected means that the endpoint has just rejected a call.
 	ObstacleRejected Obstacle = "rejected_a_call"
 	// ObstacleNoSlot, ObstacleStartLimit and ObstaclePrefill mean that a limit is reached.
@@ -256,7 +258,7 @@
 		}
 		if row.Obstacle == "" {
 			x.Candidates++
-			if suspicion(now, e) == "" {
+			if suspicion(now, e, request) == "" {
 				healthy++
 			}
 		}
@@ -267,7 +269,7 @@
 		if row.Obstacle != "" {
 			continue
 		}
-		if why := suspicion(now, e); why != "" {
+		if why := suspicion(now, e, request); why != "" {
 			row.LastResort = healthy == 0
 			if healthy > 0 {
 				row.Obstacle = why
@@ -327,12 +329,14 @@
 }
 
 // suspicion returns why an endpoint is used only if no other may run a request.
-func suspicion(now boottime.Instant, e *endpointState) Obstacle {
+func suspicion(now boottime.Instant, e *endpointState, request *Request) Obstacle {
 	switch {
 	case e.health.backingOff(now):
 		return ObstacleBackingOff
 	case e.unresponsive(now):
 		return ObstacleUnresponsive
+	case e.outlasts(now, request):
+		return ObstacleTooSlow
 	}
 	return ""
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -152,6 +152,7 @@
 	backend, known := p.view.Deployment.Services[endpoint.Service]
 	if known {
 		state.backend, state.profile = &backend, backend.Engine
+		state.usesPace = p.usesPace(state)
 		p.refreshPlainPermit(state)
 	}
 }
@@ -189,10 +190,21 @@
 func (p *Placer) UpdateLoad(id fleet.EndpointID, report LoadReport) {
 	if state := p.endpoints[id]; state != nil {
 		state.applyReport(report)
-		p.reportsSpeed[state.Service] = p.reportsSpeed[state.Service] || report.Slowdown > 0
+		if report.Slowdown > 0 && !p.reportsSpeed[state.Service] {
+			p.reportsSpeed[state.Service] = true
+			for _, e := range p.byService[state.Service] {
+				e.usesPace = p.usesPace(e)
+			}
+		}
 	}
 }
 
+// usesPace reports whether the pace that an engine's agent reports is used: for services whose
+// standing queues are drained.
+func (p *Placer) usesPace(e *endpointState) bool {
+	return e.profile != nil && p.drainsQueues(e.Service)
+}
+
 // Submit adds a request and either decides on it at once or queues it.
 func (p *Placer) Submit(now boottime.Instant, request Request) *Ticket {
 	p.nextPass()
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -59,3 +59,42 @@
 func scaled(d time.Duration, slowdown float64) time.Duration {
 	return time.Duration(float64(d) * slowdown)
 }
+
+// slowdown returns how long work takes at the endpoint now, 1 being as declared. An engine's own
+// agent knows that better than single answers.
+func (e *endpointState) slowdown(now boottime.Instant) float64 {
+	if pace := e.pace(); pace > 0 {
+		return pace
+	}
+	return e.speed.now(now)
+}
+
+// lastingSlowdown is slowdown without short spells.
+func (e *endpointState) lastingSlowdown() float64 {
+	if pace := e.pace(); pace > 0 {
+		return pace
+	}
+	return e.speed.lasting()
+}
+
+// pace returns the pace of an engine by the report of its agent, 0 if it is not used.
+func (e *endpointState) pace() float64 {
+	if !e.usesPace || e.status.At == 0 || e.status.Pace <= 0 {
+		return 0
+	}
+	return max(e.status.Pace, minSlowdown)
+}
+
+// outlasts reports whether the answer of a request would end after its deadline on an engine that
+// is slower than declared.
+//
+// Load pattern: a tenth of the engines take 2.5 times as long, for as long as they run. Long answers
+// that are placed there are cut at the caller's deadline, although other engines finish them.
+func (e *endpointState) outlasts(now boottime.Instant, request *Request) bool {
+	pace := e.pace()
+	if pace <= 1 || request.Continues { // how much is left of an answer that goes on is unknown
+		return false
+	}
+	sized := e.withUsualSizes(*request)
+	return request.Deadline.Before(now.Add(scaled(e.duration(&sized), pace)))
+}
