--- a/placement/standing_test.go
+++ b/placement/standing_test.go
@@ -115,7 +115,7 @@
 	return r, back
 }
 
-// Guards against a queue that stays after the disturbance that built it: every caller waited
+// Guards against a queue that stays after the loss of slots that built it: every caller waited
 // for it for as long as arrivals were at the capacity.
 func TestAQueueStaysAfterTheSlotsAreBack(t *testing.T) {
 	g := NewWithT(t)
