load: a poll that the timeout ends does not change the replicas

The last poll of a spread watch could be ended by the timeout of the watch. The report now keeps the replicas of the last whole poll. TestAPollThatTheTimeoutEndsDoesNotChangeTheReplicas fails without the change.

--- a/load/spread.go
+++ b/load/spread.go
@@ -66,6 +66,10 @@
 	nextProgress := start
 	for {
 		replicas := s.replicas(ctx)
+		if ctx.Err() != nil {
+			// The timeout ended this poll: engines that were not asked would count as without the version.
+			return report, s.readOrigin(context.WithoutCancel(ctx), report)
+		}
 		elapsed := time.Since(start)
 		report.Replicas = replicas
 		for len(milestones) > 0 && replicas >= milestones[0] {
--- a/load/watch_test.go
+++ b/load/watch_test.go
@@ -42,6 +42,35 @@
 	g.Expect(report.Violations()).To(Succeed())
 }
 
+// Guards against a last poll that the timeout ends and that counts engines as without the
+// version, although they served it in the poll before.
+func TestAPollThatTheTimeoutEndsDoesNotChangeTheReplicas(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "weights")
+	g.Expect(os.WriteFile(path, []byte("weights"), 0o600)).To(Succeed())
+	store := origin.New(origin.Config{})
+	_, err := store.AddFile("v1", path, 4)
+	g.Expect(err).NotTo(HaveOccurred())
+	first, second := standinengine.New(standinengine.Config{}), standinengine.New(standinengine.Config{})
+	first.Load("v1", weightsDigest)
+	var polls atomic.Int64
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The first poll has two requests: the status, and the staged chunks for the progress line.
+		if polls.Add(1) > 2 {
+			<-r.Context().Done()
+			return
+		}
+		first.ServeHTTP(w, r)
+	})
+	watch := load.SpreadWatch{
+		Engines: []string{serve(t, slow), serve(t, second)}, Origin: serve(t, store),
+		Version: "v1", Timeout: time.Second, Progress: io.Discard,
+	}
+	report, err := watch.Run(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Replicas).To(Equal(1))
+}
+
 func TestNewWorkAfterTheGraceBreaksAPromise(t *testing.T) {
 	g := NewWithT(t)
 	backend := serve(t, service.New(service.Config{}))
