--- a/metastore/burst_test.go
+++ b/metastore/burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,8 +30,10 @@
 	writes uint64
 	// answerTime is how long each answer takes.
 	answerTime time.Duration
-	sent       int
-	calls      []string
+
+	mu    sync.Mutex
+	sent  int
+	calls []string
 }
 
 func (s *burstStore) revision() uint64 {
@@ -38,14 +41,22 @@
 }
 
 func (s *burstStore) answer(call string, items []metastore.Change) []metastore.Change {
+	s.mu.Lock()
 	s.calls = append(s.calls, call)
 	for i := range items {
 		s.sent += len(items[i].Value)
 	}
+	s.mu.Unlock()
 	time.Sleep(s.answerTime)
 	return items
 }
 
+func (s *burstStore) sentBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
 func declarationAt(revision uint64) metastore.Change {
 	value := make([]byte, declarationBytes)
 	copy(value, fmt.Sprint(revision))
@@ -126,7 +137,8 @@
 				done := make(chan struct{})
 				go func() { defer close(done); _ = follower.Run(ctx) }()
 				time.Sleep(burst)
-				sent := store.sent
+				synctest.Wait()
+				sent := store.sentBytes()
 				time.Sleep(7 * time.Second)
 				cancel()
 				<-done
