--- a/forward/events.go
+++ b/forward/events.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/zinniaseam/zinniaseam/boottime"
+	"github.com/zinniaseam/zinniaseam/membudget"
 )
 
 const (
@@ -34,6 +37,9 @@
 type EventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// held, if it is set, is called when the capacity of a large buffer has changed.
+	held     func(capacity int)
+	reported int
 }
 
 // NewEventReader returns a reader of the events of a body.
@@ -41,15 +47,51 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, readBuffer)}
 }
 
+// Events returns a reader of the events of the answer. Buffers of large events count towards the
+// memory of the pool.
+func (a *Answer) Events() *EventReader {
+	r := NewEventReader(a)
+	r.held = a.holdEvent
+	return r
+}
+
+// holdEvent counts the buffer of an event. Small shares are always granted, and the events that
+// readers return are not larger.
+func (a *Answer) holdEvent(capacity int) {
+	size, now := min(int64(capacity), membudget.SmallBytes), boottime.Now()
+	if a.memory == nil {
+		a.memory = a.conn.pool.memory.Open(membudget.Response, size, now, a.giveUp)
+		return
+	}
+	a.memory.Resize(size, now)
+}
+
+// reportBuffer reports the capacity of the buffer if it is larger than that of the bufio.Reader.
+func (r *EventReader) reportBuffer() {
+	capacity := cap(r.buffer)
+	if capacity <= readBuffer {
+		capacity = 0
+	}
+	if r.held != nil && capacity != r.reported {
+		r.reported = capacity
+		r.held(capacity)
+	}
+}
+
 // Next returns the next complete event. Its bytes are valid until the next call. The
 // error is io.EOF if the stream ended between two events, and wraps ErrTruncated if the
 // stream ended within an event, the connection failed, or an event is too large. It wraps
 // ErrNoEvent if something else stands where an event is due.
 func (r *EventReader) Next() (Event, error) {
+	if cap(r.buffer) > readBuffer && len(r.buffer) <= readBuffer {
+		r.buffer = nil // the events have become small again
+	}
 	r.buffer = r.buffer[:0]
+	r.reportBuffer()
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.buffer = append(r.buffer, line...)
+		r.reportBuffer()
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -85,14 +85,15 @@
 	})
 	piece := min(answerPiece, max(callerPiece, len(body)/membudget.ProgressParts))
 	for len(body) > 0 {
-		if evicted.Load() {
-			stalledCallers.Add("evicted", 1)
-			return errEvicted
+		n, err := 0, errEvicted
+		if !evicted.Load() {
+			n, err = s.writer.Write(body[:min(piece, len(body))])
 		}
-		n, err := s.writer.Write(body[:min(piece, len(body))])
 		if err != nil {
 			if evicted.Load() {
 				stalledCallers.Add("evicted", 1)
+				s.gateway.connectionLines.Info("The caller does not read its answer and memory is short; aborting the connection.", "request", s.admitted.call.ID, "unread", len(body),
+					"memoryUsed", s.gateway.memory.Used(), "memoryCapacity", s.gateway.memory.Capacity())
 			}
 			return err
 		}
@@ -120,7 +121,7 @@
 		return placement.OutcomeFailed, stepRetry
 	}
 	flusher := http.NewResponseController(s.writer)
-	reader := forward.NewEventReader(answer)
+	reader := answer.Events()
 	// Only a number shows where the events of a further attempt belong.
 	located := !s.headSent
 	for {
