peers, connlimit: bounds on what clients of a peer listener hold

Calls between processes carry no key in the deployments of the platform, so anybody on the network could use up the memory of a gateway or an agent: 120 unfinished messages of 1 MiB took 149 MiB, messages in frames of one byte 187 MiB, 12,000 open calls with 15 kB of metadata 344 MiB, and 700 connections passed the 500 descriptors of the machine. Open calls and incomplete messages of all connections now share 32 MiB, keys are checked before a message is read, and a full listener closes connections without a call and silent ones first instead of the new one. Connections that are closed because of a limit are logged, 20 lines a second.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,6 +64,8 @@
 	Region        core.RegionID
 	// Listen is the listen address for the other processes of the system.
 	Listen string
+	// PeerConnections bounds the connections of other processes, 0 for a default.
+	PeerConnections int
 	// PeerPort is the port of other agents, on the IP addresses of their engines.
 	PeerPort int
 	// UploadRate limits all weight uploads on the VM's link, and FetchRate the transfer
@@ -183,12 +185,14 @@
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
-	server := peers.NewServer(peers.Security{})
+	server := peers.NewServer(peers.Security{}, a.log)
 	peerpb.RegisterAgentServer(server, a)
 	peerpb.RegisterEndpointServer(server, a)
 	peerpb.RegisterPeerServer(server, a)
 	var process kernel.Process
-	process.AddDuty("grpc", func(context.Context) error { return server.Serve(peers.Limit(listener)) })
+	process.AddDuty("grpc", func(context.Context) error {
+		return server.Serve(peers.Limit(listener, a.config.PeerConnections, a.log))
+	})
 	process.AddDuty("metrics", func(ctx context.Context) error { return metrics.Serve(ctx, a.config.MetricsListen, a.log) })
 	process.AddDuty("peers", a.pool.Run)
 	process.AddDuty("pauses", func(ctx context.Context) error { a.pauses.Run(ctx); return ctx.Err() })
--- a/cmd/zsagent/providers.go
+++ b/cmd/zsagent/providers.go
@@ -31,7 +31,7 @@
 func provideConfig(o *platform.Options, s *platform.Settings) agent.Config {
 	return agent.Config{
 		EngineAddress: s.EngineAddress, Zone: s.Zone, Region: s.Region,
-		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerPort: s.FirstPort,
+		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerPort: s.FirstPort, PeerConnections: s.PeerConnections(),
 		UploadRate: int64(float64(s.LinkRate) * uploadShare), FetchRate: int64(float64(s.LinkRate) * fetchShare),
 		SwitchTime: s.Bounds.VersionSwitch, StopTimeout: stopTimeout, StartSettle: startSettle, MetricsListen: o.MetricsListen(s), Version: platform.VersionID,
 	}
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -64,7 +64,7 @@
 		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
 		BodyMemory: o.BodyMemory(s), CallerConnections: s.CallerConnections(),
 		Relay: gateway.RelayConfig{
-			Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Zone: s.Zone, Region: s.Region,
+			Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerConnections: s.PeerConnections(), Zone: s.Zone, Region: s.Region,
 			MemoryBytes: int64(float64(s.MemoryBytes) * relayMemoryShare), UploadRate: int64(float64(s.LinkRate) * relayLinkShare),
 			RegionRate: transfer.RecommendedRegionRate, Version: platform.VersionID,
 		},
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -8,38 +8,49 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/zinniaseam/zinniaseam/logging"
 )
 
 // closedConnections counts connections that were closed because their listener was full: those
-// that had not sent a request yet, idle ones, and new ones if all others were in use.
+// that had not sent a request yet, idle ones, silent ones, and new ones if all others were in use.
 var closedConnections = expvar.NewMap("connections_over_limit")
 
 // Limit bounds the open connections of one listener. If a connection is accepted while the limit
 // is reached, another one without a request is closed: first the oldest that has not sent one
 // yet, then the one that has been idle longest. If all are in use, the new one is closed.
 type Limit struct {
-	max    int
-	strict bool
+	max          int
+	closesSilent bool
+	listener     string
+	lines        *logging.Limited
 
 	mu   sync.Mutex
 	open map[*conn]*list.Element
-	// fresh and idle contain the connections without a request, the oldest first.
-	fresh, idle *list.List
+	// fresh and idle contain the connections without a request, active the others if they may
+	// be closed. The first has been in its state, or silent, the longest.
+	fresh, idle, active *list.List
 }
 
 // New returns a limit of at most max connections.
 func New(max int) *Limit {
-	return &Limit{max: max, open: map[*conn]*list.Element{}, fresh: list.New(), idle: list.New()}
+	return &Limit{max: max, open: map[*conn]*list.Element{}, fresh: list.New(), idle: list.New(), active: list.New()}
 }
 
-// NewStrict returns a limit of at most max connections that closes the new connection whenever
-// it is reached. It suits connections that are kept for long and carry many calls.
-func NewStrict(max int) *Limit {
+// NewClosingSilent returns a limit of at most max connections that also closes connections in use:
+// if all are, the one whose state has been unchanged for the longest time. SetState must be called with
+// http.StateActive whenever a connection in use has received something. It suits connections
+// that are kept for long and on which known clients send often.
+func NewClosingSilent(max int) *Limit {
 	l := New(max)
-	l.strict = true
+	l.closesSilent = true
 	return l
 }
 
+// LogTo logs each connection that is closed because of the limit, with the name of the listener. It
+// must be called before Listen.
+func (l *Limit) LogTo(lines *logging.Limited, listener string) { l.lines, l.listener = lines, listener }
+
 // Listen returns a listener whose connections are bounded by the limit.
 func (l *Limit) Listen(inner net.Listener) net.Listener { return &listener{inner, l} }
 
@@ -49,10 +60,16 @@
 	if wrapped, ok := outer.(interface{ NetConn() net.Conn }); ok {
 		outer = wrapped.NetConn()
 	}
+	SetState(outer, state)
+}
+
+// SetState tells whether a connection of a bounded listener has a request.
+func SetState(outer net.Conn, state http.ConnState) {
 	c, ok := outer.(*conn)
 	if !ok {
 		return
 	}
+	l := c.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	element, open := l.open[c]
@@ -63,6 +80,9 @@
 	case http.StateActive, http.StateHijacked:
 		l.unlist(element)
 		l.open[c] = nil
+		if l.closesSilent {
+			l.open[c] = l.active.PushBack(c)
+		}
 	case http.StateIdle:
 		l.unlist(element)
 		l.open[c] = l.idle.PushBack(c)
@@ -71,8 +91,10 @@
 
 func (l *Limit) unlist(element *list.Element) {
 	if element != nil {
-		l.fresh.Remove(element) // does nothing for an element of the other list
+		// Remove does nothing for an element of another list.
+		l.fresh.Remove(element)
 		l.idle.Remove(element)
+		l.active.Remove(element)
 	}
 }
 
@@ -81,13 +103,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.open) >= l.max && !l.closeOldest() {
-		closedConnections.Add("new", 1)
+		l.closing(c, "new")
 		return false
 	}
-	l.open[c] = nil
-	if !l.strict {
-		l.open[c] = l.fresh.PushBack(c)
-	}
+	l.open[c] = l.fresh.PushBack(c)
 	return true
 }
 
@@ -96,17 +115,27 @@
 	if element == nil {
 		kind, element = "idle", l.idle.Front()
 	}
+	if element == nil {
+		kind, element = "silent", l.active.Front()
+	}
 	if element == nil {
 		return false
 	}
 	c := element.Value.(*conn)
 	l.unlist(element)
 	delete(l.open, c)
-	closedConnections.Add(kind, 1)
+	l.closing(c, kind)
 	_ = c.Conn.Close()
 	return true
 }
 
+func (l *Limit) closing(c *conn, kind string) {
+	closedConnections.Add(kind, 1)
+	if l.lines != nil {
+		l.lines.Info("Too many connections; closing one.", "listener", l.listener, "kind", kind, "client", c.RemoteAddr())
+	}
+}
+
 func (l *Limit) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/endpoint/process.go
+++ b/endpoint/process.go
@@ -92,14 +92,14 @@
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
-	server := peers.NewServer(p.node.Security)
+	server := peers.NewServer(p.node.Security, p.log)
 	peerpb.RegisterEndpointServer(server, p)
 	peerpb.RegisterPeerServer(server, p.node)
 	var process kernel.Process
 	process.AddDuty("runtime", p.config.Runtime.Run)
 	p.node.AddDuties(&process)
 	process.AddDuty("claims", p.ledger.Maintain)
-	process.AddDuty("grpc", func(context.Context) error { return server.Serve(peers.Limit(listener)) })
+	process.AddDuty("grpc", func(context.Context) error { return server.Serve(peers.Limit(listener, 0, p.log)) })
 	if p.weights != nil {
 		process.AddDuty("spread", p.spreader.Run)
 		process.AddDuty("region links", p.spreader.Govern)
--- a/entry/process.go
+++ b/entry/process.go
@@ -14,6 +14,7 @@
 	"github.com/zinniaseam/zinniaseam/connlimit"
 	"github.com/zinniaseam/zinniaseam/goruntime"
 	"github.com/zinniaseam/zinniaseam/kernel"
+	"github.com/zinniaseam/zinniaseam/logging"
 	"github.com/zinniaseam/zinniaseam/node"
 	"github.com/zinniaseam/zinniaseam/peerpb"
 	"github.com/zinniaseam/zinniaseam/peers"
@@ -75,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
-	callerServer, callerListener, err := listenHTTP(p.config.CallerListen, p.callers.Handler(), maxCallerConnections)
+	callerServer, callerListener, err := listenHTTP("callers", p.config.CallerListen, p.callers.Handler(), maxCallerConnections, p.log)
 	if err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
@@ -83,14 +84,14 @@
 	if err != nil {
 		return fmt.Errorf("operator listener: %w", err)
 	}
-	grpcServer := peers.NewServer(p.node.Security)
+	grpcServer := peers.NewServer(p.node.Security, p.log)
 	peerpb.RegisterPeerServer(grpcServer, p.node)
 
 	var process kernel.Process
 	process.AddDuty("runtime", p.config.Runtime.Run)
 	p.node.AddDuties(&process)
 	process.AddDuty("platform", p.syncer.Run)
-	process.AddDuty("grpc", func(context.Context) error { return grpcServer.Serve(peers.Limit(peerListener)) })
+	process.AddDuty("grpc", func(context.Context) error { return grpcServer.Serve(peers.Limit(peerListener, 0, p.log)) })
 	process.AddDuty("callers", func(context.Context) error { return serveHTTP(callerServer, callerListener) })
 	process.AddDuty("operators", func(context.Context) error { return serveHTTP(operatorServer, operatorListener) })
 	process.AddStop("readiness", p.drainCallers)
@@ -115,19 +116,20 @@
 
 // listenOperators opens the operator listener, with TLS if configured.
 func (p *Process) listenOperators() (*http.Server, net.Listener, error) {
-	server, listener, err := listenHTTP(p.config.OperatorListen, p.operator, maxOperatorConnections)
+	server, listener, err := listenHTTP("operators", p.config.OperatorListen, p.operator, maxOperatorConnections, p.log)
 	if err != nil || !p.config.OperatorTLS {
 		return server, listener, err
 	}
 	return server, tls.NewListener(listener, p.node.Certs.ListenerConfig()), nil
 }
 
-func listenHTTP(addr string, handler http.Handler, maxConnections int) (*http.Server, net.Listener, error) {
+func listenHTTP(name, addr string, handler http.Handler, maxConnections int, logger *log.Logger) (*http.Server, net.Listener, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, nil, err
 	}
 	limit := connlimit.New(maxConnections)
+	limit.LogTo(logging.NewLimited(logger), name)
 	server := &http.Server{
 		Handler: handler, ConnState: limit.ConnState,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -57,10 +57,8 @@
 		body = explain.Failure{Process: g.describe(view, now), Code: failure.code, Detail: failure.detail}
 	}
 	explanations.Add(outcome, 1)
-	if unlogged, permitted := g.explainLines.take(); permitted {
-		g.log.Info("Explained where a request would go.", "unlogged", unlogged, "outcome", outcome, "route", answer.Route, "team", answer.Team, "reason", answer.Reason,
-			"chosen", answer.Chosen, "declaration", view.DeclarationRevision(), "ageMs", now.Sub(view.ConfirmedAt).Milliseconds())
-	}
+	g.explainLines.Info("Explained where a request would go.", "outcome", outcome, "route", answer.Route, "team", answer.Team, "reason", answer.Reason,
+		"chosen", answer.Chosen, "declaration", view.DeclarationRevision(), "ageMs", now.Sub(view.ConfirmedAt).Milliseconds())
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(explainWriteTimeout))
 	w.Header().Set("Content-Type", "application/json")
 	if status == http.StatusMethodNotAllowed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/zinniaseam/zinniaseam/forward"
 	"github.com/zinniaseam/zinniaseam/kernel"
 	"github.com/zinniaseam/zinniaseam/lastcalls"
+	"github.com/zinniaseam/zinniaseam/logging"
 	"github.com/zinniaseam/zinniaseam/membudget"
 	"github.com/zinniaseam/zinniaseam/metastore"
 	"github.com/zinniaseam/zinniaseam/metrics"
@@ -90,13 +91,15 @@
 	pool      *forward.Pool
 	// memory is the budget for the bodies of calls and answers.
 	memory      *membudget.Budget
-	unreadLines *lineLimit
+	unreadLines *logging.Limited
 	// explainLines bounds the lines about explanations, which anybody on the network may request.
-	explainLines *lineLimit
-	scheduler    *scheduler
-	budgets      *budgets
-	agents       *agents
-	relay        *relay
+	explainLines *logging.Limited
+	// connectionLines bounds the lines about connections that are closed because of a limit.
+	connectionLines *logging.Limited
+	scheduler       *scheduler
+	budgets         *budgets
+	agents          *agents
+	relay           *relay
 	// quarantine keeps calls with harmful prompt parts away from engines.
 	quarantine *quarantineGuard
 	log        *log.Logger
@@ -128,10 +131,11 @@
 	}
 	memory := membudget.New(config.BodyMemory)
 	g := &Gateway{
-		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory, unreadLines: newLineLimit(), explainLines: newLineLimit(),
+		config: config, dialect: dialect, tracker: tracker, pool: forward.NewPoolWithin(memory), memory: memory,
 		scheduler: newScheduler(placer, now), budgets: newBudgets(config.RetryRatio, config.RetrySlack),
 		log: logger.WithPrefix("gateway"), now: now, relay: relay,
 	}
+	g.unreadLines, g.explainLines, g.connectionLines = logging.NewLimited(g.log), logging.NewLimited(g.log), logging.NewLimited(g.log)
 	g.ending, g.end = context.WithCancelCause(context.Background())
 	// One watch of the entire store costs half of two.
 	g.follower = &metastore.Follower{Store: store, Wait: config.WatchWait, BatchDelay: watchBatchDelay, MaxBatchDelay: maxWatchBatchDelay, Sink: tracker, Now: now}
@@ -187,6 +191,8 @@
 		return fmt.Errorf("readiness listener: %w", err)
 	}
 	callerLimit, readyLimit := connlimit.New(g.config.CallerConnections), connlimit.New(maxReadyConnections)
+	callerLimit.LogTo(g.connectionLines, "callers")
+	readyLimit.LogTo(g.connectionLines, "readiness")
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serveCall), ConnState: callerLimit.ConnState,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeadBytes,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,8 +24,10 @@
 	// Listen is the address for connections of the system's other processes. It also
 	// identifies this machine as a relay.
 	Listen string
-	Zone   core.ZoneID
-	Region core.RegionID
+	// PeerConnections bounds the connections of the system's other processes, 0 for a default.
+	PeerConnections int
+	Zone            core.ZoneID
+	Region          core.RegionID
 	// MemoryBytes bounds the stored weights. Weights that exceed it are left to the
 	// engines' machines.
 	MemoryBytes int64
@@ -157,13 +159,13 @@
 	if err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
-	server := peers.NewServer(peers.Security{})
+	server := peers.NewServer(peers.Security{}, r.log)
 	peerpb.RegisterEndpointServer(server, r)
 	peerpb.RegisterPeerServer(server, r)
 	peerpb.RegisterGatewayServer(server, lender)
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
-	return server.Serve(peers.Limit(listener))
+	return server.Serve(peers.Limit(listener, r.config.PeerConnections, r.log))
 }
 
 // setTarget records the declared target and the engines that need it. Targets of an
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -127,10 +127,8 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedReadTimeout))
 	w.WriteHeader(status)
 	rejections.Add(string(reason), 1)
-	if unlogged, permitted := g.unreadLines.take(); permitted {
-		g.log.Info("Reading the request failed; rejecting it.", "request", g.dialect.ReadCall(r, nil).ID, "status", status, "reason", reason,
-			"caller", r.RemoteAddr, "host", r.Host, "length", r.ContentLength, "memoryUsed", g.memory.Used(), "memoryCapacity", g.memory.Capacity(), "unlogged", unlogged, "err", err)
-	}
+	g.unreadLines.Info("Reading the request failed; rejecting it.", "request", g.dialect.ReadCall(r, nil).ID, "status", status, "reason", reason,
+		"caller", r.RemoteAddr, "host", r.Host, "length", r.ContentLength, "memoryUsed", g.memory.Used(), "memoryCapacity", g.memory.Capacity(), "err", err)
 }
 
 // reject answers a call with a rejection. details are additional log keys and values.
--- a/metrics/serve.go
+++ b/metrics/serve.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/zinniaseam/zinniaseam/connlimit"
+	"github.com/zinniaseam/zinniaseam/logging"
 )
 
 // Bounds on what clients hold.
@@ -47,6 +48,7 @@
 		mux.Handle(page.Path, page.Handler)
 	}
 	limit := connlimit.New(maxConnections)
+	limit.LogTo(logging.NewLimited(logger), "metrics")
 	server := &http.Server{
 		Handler: mux, ConnState: limit.ConnState, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 	}
--- a/peers/key.go
+++ b/peers/key.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
@@ -50,17 +50,11 @@
 	return checker
 }
 
-// authenticate returns an error if a call carries none of the accepted keys.
-func (k *keyChecker) authenticate(ctx context.Context) error {
-	if len(k.digests) == 0 {
+// authenticate returns an error if the metadata of a call has none of the accepted keys.
+func (k *keyChecker) authenticate(incoming metadata.MD) error {
+	if len(k.digests) == 0 || slices.ContainsFunc(incoming.Get(keyHeader), k.accepts) {
 		return nil
 	}
-	incoming, _ := metadata.FromIncomingContext(ctx)
-	for _, value := range incoming.Get(keyHeader) {
-		if k.accepts(value) {
-			return nil
-		}
-	}
 	return status.Error(codes.Unauthenticated, "the peer key is missing or wrong")
 }
 
@@ -73,17 +67,3 @@
 	}
 	return found == 1
 }
-
-func (k *keyChecker) unary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-	if err := k.authenticate(ctx); err != nil {
-		return nil, err
-	}
-	return handle(ctx, request)
-}
-
-func (k *keyChecker) stream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
-	if err := k.authenticate(stream.Context()); err != nil {
-		return err
-	}
-	return handle(server, stream)
-}
