--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -133,6 +133,8 @@
 		requestedAt := l.scheduler.now()
 		reply, err := l.requestSlot(ctx, address, ticket.Request)
 		switch {
+		case err != nil && ctx.Err() != nil:
+			return false // the caller has left, which tells nothing about the other gateway
 		case err != nil:
 			leaseCounts.Add("failed", 1)
 			l.avoid(address, unresponsiveBackoff)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -14,7 +14,7 @@
 
 func (s *scheduler) updateEngine(status *peerpb.EngineNews) {
 	s.update(func(p *placement.Placer, now boottime.Instant) {
-		p.UpdatePermit(status.GetEngine(), startPermit(status))
+		p.UpdatePermit(status.GetEngine(), startPermit(now, status))
 		if status.GetLeaving() && p.EngineLeaving(now, status.GetEngine(), status.GetBoot()) {
 			endpointNotices.Add("leaving_by_agent", 1)
 		}
@@ -79,12 +79,12 @@
 // process sent the message that the agent had received last, so that the agent never gives a
 // lease away before its end. An engine that has never responded, or that responds and has no
 // weights, is leased to nobody.
-func startPermit(status *peerpb.EngineNews) startquota.Permit {
+func startPermit(now boottime.Instant, status *peerpb.EngineNews) startquota.Permit {
 	withoutWeights := !status.GetUnreachable() && status.GetVersion() == 0
-	if status.GetEchoMs() == 0 || status.GetBoot() == 0 || withoutWeights {
+	sent, valid := echoed(now, status)
+	if !valid || status.GetBoot() == 0 || withoutWeights {
 		return startquota.Permit{}
 	}
-	sent := boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond)
 	return startquota.Permit{Starts: int(status.GetStarts()), Boot: status.GetBoot(), Until: sent.Add(startquota.LeaseTime)}
 }
 
@@ -119,15 +119,24 @@
 // malformedEchoes counts times in statuses at which this process cannot have sent a message.
 var malformedEchoes = expvar.NewInt("malformed_echoes")
 
-// pathSample returns the round trip of the last message that the agent has received. A sample of a
-// message from the future would count as newer than all that follow, for the whole region.
-func pathSample(now boottime.Instant, status *peerpb.EngineNews) placement.PathSample {
+// echoed returns when this process sent the last message that the agent has received. It is not
+// valid if there was none, or if it is in the future: a lease would never end, and a sample of the path would
+// count as newer than all that follow, for the whole region.
+func echoed(now boottime.Instant, status *peerpb.EngineNews) (sent boottime.Instant, valid bool) {
 	if status.GetEchoMs() == 0 {
-		return placement.PathSample{}
+		return 0, false
 	}
-	sent := boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond)
 	if status.GetEchoMs() > uint64(time.Duration(now).Milliseconds()) {
 		malformedEchoes.Add(1)
+		return 0, false
+	}
+	return boottime.Instant(time.Duration(status.GetEchoMs()) * time.Millisecond), true
+}
+
+// pathSample returns the round trip of the last message that the agent has received.
+func pathSample(now boottime.Instant, status *peerpb.EngineNews) placement.PathSample {
+	sent, valid := echoed(now, status)
+	if !valid {
 		return placement.PathSample{}
 	}
 	held := time.Duration(status.GetEchoHeldMs()) * time.Millisecond
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -86,7 +86,7 @@
 	}
 	weights := 0.0
 	for _, e := range ready {
-		weights += p.demandWeight(e)
+		weights += p.demandWeight(e, now)
 	}
 	measured := ready
 	if len(ready) == 0 {
@@ -95,11 +95,11 @@
 	calls := p.arrivalsBefore(now, service, anyPriority)*meanCallTime(measured).Seconds() + float64(countOf(p.queue, service))
 	ranked := p.rankedShares(now, service, meanCallTime(measured))
 	for _, e := range ready {
-		part := p.demandWeight(e) / weights
+		part := p.demandWeight(e, now) / weights
 		demands[e.Address] = slotshare.Demand{Calls: calls * part, Ranked: times(ranked, part), Open: e.usedSlots()}
 	}
 	for _, e := range coming {
-		part := p.demandWeight(e) / (weights + p.demandWeight(e))
+		part := p.demandWeight(e, now) / (weights + p.demandWeight(e, now))
 		demands[e.Address] = slotshare.Demand{Calls: calls * part, Ranked: times(ranked, part), Open: e.usedSlots()}
 	}
 }
@@ -130,8 +130,8 @@
 
 // demandWeight is the weight of an engine in the division of the demand: less for those that are
 // far or have been slow for seconds.
-func (p *Placer) demandWeight(e *endpointState) float64 {
-	return p.proximityWeight(e) / e.lastingSlowdown()
+func (p *Placer) demandWeight(e *endpointState, now boottime.Instant) float64 {
+	return p.proximityWeight(e) / e.lastingSlowdown(now)
 }
 
 func meanCallTime(engines []*endpointState) time.Duration {
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -14,6 +14,9 @@
 	// speedTimeConstant is the time constant of the EWMA of reported slowdowns: longer than a
 	// single slow spell, so that only lasting slowness moves shares of the demand.
 	speedTimeConstant = 3 * time.Second
+	// speedMeanTTL is how long the mean scales shares of the demand without further reports. Reports
+	// come with each answer and health check.
+	speedMeanTTL = 3 * speedTimeConstant
 	// minSlowdown bounds how fast an endpoint may claim to be.
 	minSlowdown = 0.5
 )
@@ -47,9 +50,9 @@
 	return s.latest
 }
 
-// lasting returns the mean slowdown, 1 if it is unknown.
-func (s *speed) lasting() float64 {
-	if s.at == 0 {
+// lasting returns the mean slowdown, 1 if it is unknown or old.
+func (s *speed) lasting(now boottime.Instant) float64 {
+	if s.at == 0 || now.Sub(s.at) > speedMeanTTL {
 		return 1
 	}
 	return s.mean
@@ -70,11 +73,11 @@
 }
 
 // lastingSlowdown is slowdown without short spells.
-func (e *endpointState) lastingSlowdown() float64 {
+func (e *endpointState) lastingSlowdown(now boottime.Instant) float64 {
 	if pace := e.pace(); pace > 0 {
 		return pace
 	}
-	return e.speed.lasting()
+	return e.speed.lasting(now)
 }
 
 // pace returns the pace of an engine by the report of its agent, 0 if it is not used.
--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -46,8 +46,9 @@
 	for range 40 {
 		p.Submit(start, call(start))
 	}
+	now := start
 	share := func() float64 {
-		demands := p.SlotDemand(start)
+		demands := p.SlotDemand(now)
 		return demands["10.0.0.1:80"].Calls / demands["10.0.0.3:80"].Calls // both in zone z0
 	}
 	report := func(from, to time.Duration, slowdown float64) {
@@ -61,6 +62,11 @@
 	g.Expect(share()).To(BeNumerically(">", 0.75))
 	report(4*time.Second, 14*time.Second, 2.5)
 	g.Expect(share()).To(BeNumerically("~", 0.4, 0.05))
+	now = start.Add(30 * time.Second)
+	for range 40 {
+		p.Submit(now, call(now))
+	}
+	g.Expect(share()).To(BeNumerically("~", 1, 0.01), "without reports")
 }
 
 // slowEngine returns a placer with four engines with slots, one of which reports that work takes
