--- a/spread/chunk_owner.go
+++ b/spread/chunk_owner.go
@@ -76,11 +76,6 @@
 	// chunk that it is still to receive. GuessWait is the same for a source that
 	// was picked at random.
 	CrossWait, PeerWait, GuessWait time.Duration
-	// RelayWait replaces PeerWait for machines that fetch from relays; 0 leaves PeerWait. It is
-	// short, so that their few fetches find the chunks that the relays have.
-	RelayWait time.Duration
-	// RelayMisses is the number of waits of RelayWait after which the next source is tried.
-	RelayMisses uint8
 	// CrossMisses and PeerMisses are the weighted numbers of FailureMissing after
 	// which the next source is tried.
 	CrossMisses, PeerMisses uint8
@@ -110,8 +105,7 @@
 	StartWindow: 6, SlowTransfer: 500 * time.Millisecond,
 	Timeouts: Timeouts{
 		OriginTimeout: 1500 * time.Millisecond, CrossTimeout: 1500 * time.Millisecond, PeerTimeout: 1300 * time.Millisecond,
-		CrossWait: time.Second, PeerWait: time.Second, GuessWait: 200 * time.Millisecond, RelayWait: 100 * time.Millisecond,
-		CrossMisses: 4, PeerMisses: 2, RelayMisses: 5,
+		CrossWait: time.Second, PeerWait: time.Second, GuessWait: 200 * time.Millisecond, CrossMisses: 4, PeerMisses: 2,
 		MaxRetry: 400 * time.Millisecond, HoldOff: 300 * time.Millisecond, MaxHoldOff: 900 * time.Millisecond,
 	},
 }
@@ -160,9 +154,6 @@
 	class    fetchClass
 	attempts uint8
 	misses   uint8
-	// shortWaits counts the waits of RelayWait since the source was last changed. Chunks with fewer
-	// are fetched first.
-	shortWaits uint8
 	// skippedAncestors is how many ancestors to skip because they did not have
 	// the chunk.
 	skippedAncestors uint8
@@ -310,12 +301,9 @@
 }
 
 func (p *chunkOwner) push(class fetchClass, chunk int) {
-	p.ready[class].add(int(p.chunks[chunk].shortWaits)*len(p.chunks) + int(p.order.ranks[chunk]))
+	p.ready[class].add(int(p.order.ranks[chunk]))
 }
 
-// chunkAt returns the chunk of a key in a queue.
-func (p *chunkOwner) chunkAt(key int) int { return int(p.order.chunks[key%len(p.chunks)]) }
-
 // startFetches fills the windows. A chunk whose source has changed class since
 // it was queued moves to the queue of the new class.
 func (p *chunkOwner) startFetches(now time.Time) []Fetch {
@@ -324,7 +312,7 @@
 		moved = p.leaveGuesses(now)
 		for class := range classCount {
 			for p.inFlight[class] < p.windows[class] && p.ready[class].Len() > 0 {
-				chunk := p.chunkAt(p.ready[class].take())
+				chunk := int(p.order.chunks[p.ready[class].take()])
 				source, actual := p.choose(now, chunk)
 				if actual != class {
 					p.push(actual, chunk)
@@ -358,18 +346,11 @@
 		return 0
 	case record.class == classCross:
 		return timeouts.CrossWait
-	case p.waitsShortly():
-		return timeouts.RelayWait
 	default:
 		return timeouts.PeerWait
 	}
 }
 
-// waitsShortly reports whether RelayWait replaces PeerWait.
-func (p *chunkOwner) waitsShortly() bool {
-	return p.fetchesFromRelays() && p.tuning.Timeouts.RelayWait > 0
-}
-
 // fetchesFromRelays reports whether this machine fetches from relays without being one.
 func (p *chunkOwner) fetchesFromRelays() bool {
 	return len(p.topology.relays) > 0 && !p.start.Self.Relay
--- a/spread/chunk_owner_choose.go
+++ b/spread/chunk_owner_choose.go
@@ -283,13 +283,13 @@
 		return false
 	}
 	var kept chunkQueue
-	for _, key := range p.ready[classGuess] {
-		chunk := p.chunkAt(int(key))
+	for _, rank := range p.ready[classGuess] {
+		chunk := int(p.order.chunks[rank])
 		_, ok := p.someHead(now, chunk)
 		if ok && p.topology.headRank(chunk, ownerRootRanks) >= ownerRootRanks {
-			p.ready[classPeer].add(int(key))
+			p.ready[classPeer].add(int(rank))
 		} else {
-			kept.add(int(key))
+			kept.add(int(rank))
 		}
 	}
 	moved := len(kept) < len(p.ready[classGuess])
--- a/spread/chunk_owner_failures.go
+++ b/spread/chunk_owner_failures.go
@@ -50,9 +50,6 @@
 func (p *chunkOwner) handleMissing(now time.Time, chunk int, after time.Duration) time.Duration {
 	record := &p.chunks[chunk]
 	waited := after >= p.wait(chunk)
-	if waited && !record.guess && record.class == classPeer && p.waitsShortly() {
-		return p.handleShortWait(record)
-	}
 	if !waited && !record.guess && p.originJustReturned(now) {
 		return p.jitter(ownerRetry)
 	}
@@ -88,22 +85,6 @@
 	return !p.originFailed && !p.originReturnedAt.IsZero() && now.Sub(p.originReturnedAt) < p.tuning.Timeouts.PeerWait
 }
 
-// handleShortWait skips a relay after RelayMisses waits for the chunk. The chunk goes behind the others
-// that this machine needs.
-//
-// Load pattern: the origin sends a version more slowly than machines receive it. Each of them has
-// RelayWindow fetches, and with full waits these are for chunks that no relay has yet: most chunks then
-// follow when the origin has sent the last one.
-func (p *chunkOwner) handleShortWait(record *chunkRecord) time.Duration {
-	record.shortWaits++
-	if record.shortWaits >= p.tuning.Timeouts.RelayMisses {
-		record.shortWaits = 0
-		increment(&record.attempts)
-		increment(&record.skippedAncestors)
-	}
-	return 0
-}
-
 func (p *chunkOwner) handleOriginFailure(now time.Time, record *chunkRecord, failure Failure) time.Duration {
 	switch failure {
 	case FailureTimeout:
--- a/spread/chunk_owner_test.go
+++ b/spread/chunk_owner_test.go
@@ -345,10 +345,9 @@
 }
 
 // Load pattern: after an outage the origin's link sends a version in 2.2 s, and the links of the engines
-// receive it in 2 s. Guards against engines that receive most chunks only when the origin has sent the
-// last one, since their few fetches wait for chunks that no relay has yet, and against relays that
-// have given up on the heads of most chunks during the outage and request them from random machines, a few
-// at a time: version 3 was 4.6 s late in place of 2.2 s.
+// receive it in 2 s. Guards against relays that have given up on the heads of most chunks
+// during the outage and request them from random machines, a few at a time: they had the version 2 s
+// after the origin had sent its last chunk.
 func TestEnginesReceiveAVersionWhileTheOriginSendsIt(t *testing.T) {
 	const (
 		engines, chunks         = 66, 48
