quarantine, gateway: one call at a time after engines ended at one moment

Cause: ends less than 150 ms apart count as one, since a power failure ends engines together under parts that all calls share. So each moment was worth one end whatever its size, a part was blocked at the fourth, and nothing was done before. Ruled out: records that come late (each gateway sees each moment, both reject from the same one on); repeats (two of 16 ends).

Change: a part in calls of two or more engines that ended at one moment, while fewer ended without it, is suspended. One call with it is sent at a time in the whole fleet, by gateways that take turns; the others wait for at most 2 s. An answer releases the part, an end under the trial blocks it. That works where a heavier weight would not: after a power failure the evidence is the same, and the trial tells the two apart. A trial is recorded when it is sent, not when the call arrives; a trial that meets a power failure doesn't count; MayRepeat and the messages about answers treat a suspended part as one with several crashes.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -97,3 +97,31 @@
 	g.Expect(share).To(BeNumerically(">=", 0.8), "sound calls answered")
 	g.Expect(begins).To(BeNumerically(">=", calmBegins/2), "sound calls begun at the first attempt")
 }
+
+// BUDGET: harmful calls that came a few at a moment crashed engines at each moment.
+func TestHarmfulCallsThatComeAtOneMomentDoNotCrashEngineAfterEngine(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t)
+	c := newCallers(t, f)
+	c.send(warmUp, false)
+	start := time.Now()
+	const clumps, clumpInterval = 6, 2 * time.Second
+	for range clumps {
+		for i := range 4 {
+			c.done.Go(func() { c.call(f.gateways[i%len(f.gateways)], true) })
+		}
+		c.send(clumpInterval, false)
+	}
+	end := time.Now()
+	share := answeredShare(g, c, end.Add(-judgedTime), end)
+	seen := f.record.happened()
+	late := 0
+	if len(seen.crashes) >= crashesToAct {
+		late = countBetween(seen.harmful, seen.crashes[crashesToAct-1].Add(contactTime), end)
+	}
+	t.Logf("crashes %d in %s; harmful calls that reached engines %d, %d of them later than %s after the fifth crash; answered in the last %s %.3f",
+		len(seen.crashes), end.Sub(start), len(seen.harmful), late, contactTime, judgedTime, share)
+	g.Expect(seen.crashes).NotTo(BeEmpty())
+	g.Expect(late).To(BeNumerically("<=", maxHarmful), "harmful calls that reached engines")
+	g.Expect(share).To(BeNumerically(">=", 0.95), "sound calls answered")
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -32,13 +32,22 @@
 	// quarantineRetryAfter is the retry time sent with a call whose prompt has a
 	// quarantined part.
 	quarantineRetryAfter = 10 * time.Second
+	// maxHold is the longest time for which a call waits while a part of its prompt is suspended.
+	// holdPoll is how often it looks whether it may be the next trial.
+	maxHold  = 2 * time.Second
+	holdPoll = 50 * time.Millisecond
+	// suspendedRetryAfter is the retry time sent with a call that has waited for maxHold.
+	suspendedRetryAfter = 2 * time.Second
 )
 
 var (
 	quarantined      = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: quarantineRetryAfter}
+	suspended        = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: suspendedRetryAfter}
 	engineEnds       = expvar.NewInt("engine_ends")
 	abandoned        = expvar.NewInt("calls_abandoned_by_quarantine")
 	quarantinedParts = expvar.NewInt("prompt_parts_quarantined")
+	suspendedParts   = expvar.NewInt("prompt_parts_suspended")
+	heldCalls        = expvar.NewInt("calls_held_by_quarantine")
 	trialCalls       = expvar.NewInt("quarantine_trials")
 )
 
@@ -49,20 +58,35 @@
 	log *log.Logger
 	// changed is called when the records for other processes change.
 	changed func()
-	// mayTry reports whether this process is the one that sends trials of a part.
-	mayTry func(part core.PromptPart) bool
+	// mayTry reports whether it is the turn of this process to send a trial of a part that has
+	// been due for some time.
+	mayTry func(part core.PromptPart, dueFor time.Duration) bool
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
 	// sessions are the calls with shared parts in progress.
 	sessions map[*session]struct{}
 	losses   map[quarantine.Crash]*loss
-	// blocked are the parts that are quarantined.
-	blocked map[servicePart]bool
+	// states are those of the parts that are suspended or quarantined.
+	states map[servicePart]partState
+	// trials are the calls that are sent as trials, by the part.
+	trials map[servicePart]*session
+	// released is closed at the next change of the tracker.
+	released chan struct{}
 	// version is the version of the tracker's records that was last passed to changed.
 	version uint64
 }
 
+// partState is how calls with a prompt part are treated.
+type partState string
+
+const (
+	partFree partState = ""
+	// partSuspended allows one call at a time.
+	partSuspended   partState = "suspended"
+	partQuarantined partState = "quarantined"
+)
+
 // servicePart is a prompt part in calls of one service.
 type servicePart struct {
 	service core.ServiceID
@@ -84,8 +108,9 @@
 
 func newQuarantineGuard(now boottime.Clock, logger *log.Logger) *quarantineGuard {
 	return &quarantineGuard{
-		now: now, log: logger.WithPrefix("quarantine"), changed: func() {}, mayTry: func(core.PromptPart) bool { return false },
-		tracker: quarantine.New(quarantine.Config{}), sessions: map[*session]struct{}{}, losses: map[quarantine.Crash]*loss{}, blocked: map[servicePart]bool{},
+		now: now, log: logger.WithPrefix("quarantine"), changed: func() {}, mayTry: func(core.PromptPart, time.Duration) bool { return false },
+		tracker: quarantine.New(quarantine.Config{}), sessions: map[*session]struct{}{}, losses: map[quarantine.Crash]*loss{},
+		states: map[servicePart]partState{}, trials: map[servicePart]*session{}, released: make(chan struct{}),
 	}
 }
 
@@ -97,20 +122,124 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.now()
-	if part, blocked := q.tracker.Blocked(now, s.admitted.service, parts); blocked {
-		if !q.tracker.Trial(now, s.admitted.service, part, q.mayTry(part)) {
-			return part, false
-		}
-		s.trial = true
-		trialCalls.Add(1)
-		q.log.Info("Sending one call with a quarantined part as a trial.", "request", s.admitted.call.ID, "service", s.admitted.service, "part", part)
-		q.publish(now)
+	if part, state := q.state(q.now(), s); state == partQuarantined && !q.reserveTrial(s, part) {
+		return part, false
 	}
 	q.sessions[s] = struct{}{}
 	return "", true
 }
 
+// state returns how a call is treated, and the part of its prompt that decides. The caller must
+// hold q.mu.
+func (q *quarantineGuard) state(now boottime.Instant, s *session) (core.PromptPart, partState) {
+	service, parts := s.admitted.service, s.admitted.call.SharedParts
+	if part, blocked := q.tracker.Blocked(now, service, parts); blocked {
+		return part, partQuarantined
+	}
+	if part, suspended := q.tracker.Suspended(now, service, parts); suspended {
+		return part, partSuspended
+	}
+	return "", partFree
+}
+
+// reserveTrial makes a call the next trial of a part, if one is due and it is the turn of this
+// process. The caller must hold q.mu.
+func (q *quarantineGuard) reserveTrial(s *session, part core.PromptPart) bool {
+	key := servicePart{s.admitted.service, part}
+	if q.trials[key] != nil {
+		return q.trials[key] == s
+	}
+	dueFor, due := q.tracker.TrialDue(q.now(), s.admitted.service, part)
+	if !due || !q.mayTry(part, dueFor) {
+		return false
+	}
+	q.endTrial(s)
+	q.trials[key], s.trialPart, s.trial = s, part, true
+	return true
+}
+
+// endTrial lets another call be the trial of a part. The caller must hold q.mu.
+func (q *quarantineGuard) endTrial(s *session) {
+	if s.trial {
+		delete(q.trials, servicePart{s.admitted.service, s.trialPart})
+		s.trialPart, s.trial = "", false
+	}
+}
+
+// await waits while a part of a call's prompt is suspended, until the call may be placed: the
+// part is found to be sound, or the call is its next trial. It returns the rejection of a call
+// that has waited for maxHold or has a quarantined part, and the part.
+func (q *quarantineGuard) await(s *session) (*rejection, core.PromptPart) {
+	start, before := q.now(), s.held
+	for {
+		part, state, changed := q.stateOf(s)
+		waited := q.now().Sub(start)
+		s.held = before + waited
+		if state == partSuspended && s.held < maxHold && s.ctx.Err() == nil {
+			if waited == 0 {
+				heldCalls.Add(1)
+			}
+			select {
+			case <-changed:
+			case <-time.After(holdPoll):
+			case <-s.ctx.Done():
+			}
+			continue
+		}
+		if waited >= holdPoll {
+			q.log.Info("A call has waited while a part of its prompt was suspended.", "request", s.admitted.call.ID, "waitedMs", waited.Milliseconds(), "trial", s.trial, "part", part, "state", state)
+		}
+		switch state {
+		case partSuspended:
+			return suspended, part
+		case partQuarantined:
+			return quarantined, part
+		default:
+			return nil, part
+		}
+	}
+}
+
+// stateOf returns how a call is treated, the part of its prompt that decides and a channel that
+// is closed when that may have changed. A call that is to be a trial is free.
+func (q *quarantineGuard) stateOf(s *session) (core.PromptPart, partState, <-chan struct{}) {
+	if len(s.admitted.call.SharedParts) == 0 {
+		return "", partFree, nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	part, state := q.state(q.now(), s)
+	if state != partFree && q.reserveTrial(s, part) {
+		state = partFree
+	}
+	return part, state, q.released
+}
+
+// maySend reports whether a call that has been placed may be sent, and records a trial. A part
+// may have been suspended, or the turn to try it have passed on, while the call waited.
+func (q *quarantineGuard) maySend(s *session) bool {
+	if len(s.admitted.call.SharedParts) == 0 {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	part, state := q.state(now, s)
+	if state == partFree {
+		q.endTrial(s)
+		return true
+	}
+	dueFor, _ := q.tracker.TrialDue(now, s.admitted.service, part)
+	if !s.trial || s.trialPart != part || !q.tracker.Trial(now, s.admitted.service, part, q.mayTry(part, dueFor)) {
+		q.endTrial(s)
+		return false
+	}
+	trialCalls.Add(1)
+	q.log.Info("Sending one call as the trial of a part of prompts.", "request", s.admitted.call.ID, "service", s.admitted.service, "part", part, "state", state)
+	q.publish(now)
+	return true
+}
+
 // leave removes a call that has ended.
 func (q *quarantineGuard) leave(s *session) {
 	if len(s.admitted.call.SharedParts) == 0 {
@@ -119,6 +248,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.sessions, s)
+	q.endTrial(s)
 }
 
 // proved records that the parts of a call did not end its engine when the call began to be
@@ -275,6 +405,8 @@
 	}
 	q.version = q.tracker.Version()
 	q.changed()
+	close(q.released)
+	q.released = make(chan struct{})
 	q.logTransitions(now)
 	for s := range q.sessions {
 		if s.trial || s.begun.Load() {
@@ -289,26 +421,39 @@
 	}
 }
 
-// logTransitions logs which parts are quarantined or released. The caller must hold q.mu.
+// logTransitions logs which parts are suspended, quarantined or released. The caller must hold
+// q.mu.
 func (q *quarantineGuard) logTransitions(now boottime.Instant) {
-	blocked := map[servicePart]bool{}
+	states := map[servicePart]partState{}
 	for _, record := range q.tracker.Records(now) {
-		key := servicePart{record.Service, record.Part}
-		if _, is := q.tracker.Blocked(now, record.Service, []core.PromptPart{record.Part}); !is {
+		key, parts := servicePart{record.Service, record.Part}, []core.PromptPart{record.Part}
+		state := partFree
+		if _, blocked := q.tracker.Blocked(now, record.Service, parts); blocked {
+			state = partQuarantined
+		} else if _, suspended := q.tracker.Suspended(now, record.Service, parts); suspended {
+			state = partSuspended
+		}
+		if state == partFree {
+			continue
+		}
+		states[key] = state
+		if q.states[key] == state {
 			continue
 		}
-		blocked[key] = true
-		if !q.blocked[key] {
+		if state == partQuarantined {
 			quarantinedParts.Add(1)
 			q.log.Warn("A prompt part is quarantined: engine after engine ended under calls with it.", "service", record.Service, "part", record.Part, "crashes", record.Crashes, "trials", record.Trials)
+		} else {
+			suspendedParts.Add(1)
+			q.log.Warn("A prompt part is suspended: several engines ended at one moment under calls with it.", "service", record.Service, "part", record.Part, "crashes", record.Crashes, "trials", record.Trials)
 		}
 	}
-	for key := range q.blocked {
-		if !blocked[key] {
-			q.log.Info("A prompt part is no longer quarantined: a call with it was answered.", "service", key.service, "part", key.part)
+	for key, state := range q.states {
+		if states[key] == partFree {
+			q.log.Info("A prompt part is no longer suspended or quarantined.", "service", key.service, "part", key.part, "was", state)
 		}
 	}
-	q.blocked = blocked
+	q.states = states
 }
 
 // records returns the records for other processes and their version.
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/peerpb"
+	"github.com/zinniaseam/zinniaseam/quarantine"
 )
 
 const (
@@ -39,17 +40,23 @@
 	return before < recordHubs
 }
 
-// mayTry reports whether this process is the gateway that sends the trials of a prompt
-// part, chosen by rendezvous hashing among the gateways that agents know.
-func (a *agents) mayTry(part core.PromptPart) bool {
+// mayTry reports whether it is the turn of this process to send a trial of a prompt part that
+// has been due for some time. The gateways that agents know take turns, in an order of rendezvous
+// hashing.
+func (a *agents) mayTry(part core.PromptPart, dueFor time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	self := a.gateway.config.Relay.Listen
 	own := xxh3.HashString(string(part) + self)
+	rank, known := 0, len(a.relays) == 0
 	for _, m := range a.relays {
-		if m.GetAddress() != self && xxh3.HashString(string(part)+m.GetAddress()) < own {
-			return false
+		switch {
+		case m.GetAddress() == self:
+			known = true
+		case xxh3.HashString(string(part)+m.GetAddress()) < own:
+			rank++
 		}
 	}
-	return true
+	turn, open := quarantine.Turn(dueFor, max(len(a.relays), 1))
+	return known && open && turn == rank
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -169,10 +169,13 @@
 	// attempt's first event or complete answer arrived, 0 before.
 	endpoint        *fleet.Endpoint
 	sentAt, begunAt boottime.Instant
-	// begun is set once the call has begun to be answered. trial is set for a call with a
-	// quarantined part that is sent to find out whether the part still ends engines.
-	begun atomic.Bool
-	trial bool
+	// begun is set once the call has begun to be answered. trial is set for a call that is sent
+	// to find out whether trialPart, which is suspended or quarantined, still ends engines.
+	begun     atomic.Bool
+	trial     bool
+	trialPart core.PromptPart
+	// held is how long the call has waited while a part of its prompt was suspended.
+	held time.Duration
 	// provedSound is set once the current attempt has shown that the call does not end its
 	// engine.
 	provedSound bool
@@ -199,6 +202,10 @@
 // permitted.
 func (s *session) run() {
 	for {
+		if rejected, part := s.gateway.quarantine.await(s); rejected != nil {
+			s.endHeld(rejected, part)
+			return
+		}
 		ticket, decision := s.gateway.scheduler.place(s.ctx, s.admitted.request(s.tried, s.headSent, s.lastEventAt))
 		if decision.Verdict != placement.Place {
 			s.notPlaced(decision)
@@ -209,6 +216,10 @@
 			s.notPlaced(decision)
 			return
 		}
+		if !s.gateway.quarantine.maySend(s) {
+			s.gateway.scheduler.ended(ticket, placement.OutcomeCanceled)
+			continue
+		}
 		next := s.attempt(ticket, decision)
 		if s.lost {
 			next = s.afterLoss(next)
@@ -281,6 +292,18 @@
 	s.rejectNotRun(reason, decision)
 }
 
+// endHeld ends a call whose prompt has a part that is suspended or quarantined.
+func (s *session) endHeld(rejected *rejection, part core.PromptPart) {
+	switch {
+	case s.ctx.Err() != nil:
+		s.notPlaced(placement.Decision{})
+	case s.sends > 0 || s.headSent:
+		s.fail(core.ReasonQuarantined)
+	default:
+		s.gateway.reject(s.writer, s.admitted.call, rejected, "route", s.admitted.route.Name, "team", s.admitted.teamName(), "part", part, "waitedMs", s.held.Milliseconds())
+	}
+}
+
 // quarantined reports whether a part of the call's prompt has been quarantined since the
 // call arrived.
 func (s *session) quarantined() bool { return errors.Is(context.Cause(s.ctx), errQuarantined) }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -6,9 +6,15 @@
 // cuts up to a full batch of sound calls that share the other parts with them. No gateway
 // sees enough ends, so the processes exchange what they know. Engines also end for other
 // reasons, one at a time or many at once.
+//
+// A few calls with the part may also come at one moment. Engines that end at one moment are no
+// proof against a part, since a power failure ends them as well. Such a part is suspended: one
+// call with it is sent at a time in the whole fleet, the others wait until it is answered or
+// ends its engine.
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,10 +49,15 @@
 	// maxAnswered bounds the parts whose last answer is remembered. An entry takes about
 	// 250 bytes, the table about 2 MB.
 	maxAnswered = 8192
-	// maxServiceCrashes bounds the recent crashes that are remembered for each service.
-	maxServiceCrashes = 64
-	// maxServices bounds the services for which recent crashes are remembered.
-	maxServices = 256
+	// maxServiceCrashes bounds the crashes that are remembered for each service.
+	maxServiceCrashes = 256
+	// maxServices bounds the services for which crashes are remembered.
+	maxServices = 64
+	// minClump is the number of engines that end at one moment from which a part of all their
+	// calls is suspended.
+	minClump = 2
+	// suspension is how long a part is suspended after its last crash.
+	suspension = 5 * time.Minute
 )
 
 // Config holds the settings of a Tracker. Zero fields take their defaults.
@@ -91,7 +102,7 @@
 	// answered is when a call with the part was last answered completely, as seen by this
 	// process.
 	answered *simplelru.LRU[subject, boottime.Instant]
-	// crashes are the recent crashes of each service, in any order.
+	// crashes are the last crashes of each service, ordered by time.
 	crashes map[core.ServiceID][]crashTime
 	version uint64
 }
@@ -153,16 +164,16 @@
 			t.answered.Add(key, at)
 		}
 		if s := t.suspects[key]; s != nil {
-			t.clear(now, s, at)
+			t.clear(now, service, s, at)
 		}
 	}
 }
 
 // clear marks the crashes before an answer as cleared. A part with a single crash is not
 // near a quarantine, so that others need not be told.
-func (t *Tracker) clear(now boottime.Instant, s *suspect, answeredAt boottime.Instant) {
-	matters := s.count(t.config.Spacing) > maxRepeatCrashes
-	if s.clear(answeredAt) && matters {
+func (t *Tracker) clear(now boottime.Instant, service core.ServiceID, s *suspect, answeredAt boottime.Instant) {
+	before := t.evidence(service, s)
+	if s.clear(answeredAt) && (before.moments > maxRepeatCrashes || before.clump) {
 		s.changed(now, true)
 		t.version++
 	}
@@ -175,7 +186,7 @@
 	var last boottime.Instant
 	for _, candidate := range parts {
 		s := t.suspects[subject{service, candidate}]
-		if s == nil || !t.quarantined(now, s) {
+		if s == nil || !t.quarantined(now, service, s) {
 			continue
 		}
 		if due := s.trialDue(); !blocked || due > last {
@@ -186,8 +197,90 @@
 }
 
 // quarantined reports whether calls with a part are blocked.
-func (t *Tracker) quarantined(now boottime.Instant, s *suspect) bool {
-	return !s.expired(now) && s.count(t.config.Spacing) >= t.config.Threshold
+func (t *Tracker) quarantined(now boottime.Instant, service core.ServiceID, s *suspect) bool {
+	return !s.expired(now) && t.blocks(t.evidence(service, s))
+}
+
+// blocks reports whether a part with some evidence is blocked.
+func (t *Tracker) blocks(e evidence) bool { return e.moments >= t.config.Threshold || e.failedTrial }
+
+// Suspended reports whether only one call with these shared parts may be sent to an engine at
+// a time. It returns the suspended part that was answered least recently, which is the one of
+// them that a trial tells most about.
+//
+// Load pattern: several calls with a harmful part come at one moment, at several gateways, and
+// end as many engines before any of them is known to have ended.
+func (t *Tracker) Suspended(now boottime.Instant, service core.ServiceID, parts []core.PromptPart) (part core.PromptPart, suspended bool) {
+	var oldest boottime.Instant
+	for _, candidate := range parts {
+		key := subject{service, candidate}
+		s := t.suspects[key]
+		if s == nil || !t.suspended(now, service, s) {
+			continue
+		}
+		if at, _ := t.answered.Peek(key); !suspended || at < oldest {
+			part, suspended, oldest = candidate, true, at
+		}
+	}
+	return part, suspended
+}
+
+// suspended reports whether calls with a part are sent one at a time.
+func (t *Tracker) suspended(now boottime.Instant, service core.ServiceID, s *suspect) bool {
+	if len(s.crashes) == 0 || now.Sub(s.lastCrash()) > suspension {
+		return false
+	}
+	e := t.evidence(service, s)
+	return e.clump && !t.blocks(e)
+}
+
+// evidence is what the crashes of a part since its last answer say about it.
+type evidence struct {
+	// moments is the number of separate crashes.
+	moments int
+	// clump is set if several engines ended at one of them.
+	clump bool
+	// failedTrial is set if an engine ended after the last trial of a part that had been
+	// suspended.
+	failedTrial bool
+}
+
+// evidence returns what the crashes of a part say about it. Engines that end at one moment say
+// nothing if as many or more ended then without the part.
+func (t *Tracker) evidence(service core.ServiceID, s *suspect) evidence {
+	var e evidence
+	trials := s.currentTrials()
+	for m := range s.moments(t.config.Spacing) {
+		e.moments++
+		if t.crashedWithout(service, s, m) >= m.engines {
+			continue
+		}
+		e.clump = e.clump || m.engines >= minClump
+		e.failedTrial = e.failedTrial || e.clump && trials > 0 && m.last > s.triedAt
+	}
+	return e
+}
+
+// crashedWithout returns the number of engines of a service that ended at a moment without a
+// call with the part, as far as known: a part whose list of crashes is full may have been in
+// calls at any of them. Crashes that other processes report appear late by the delay of messages.
+func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment) int {
+	if len(s.crashes) >= maxCrashes {
+		return 0
+	}
+	list := t.crashes[service]
+	from, to := m.first.Add(-messageDelay), m.last.Add(messageDelay)
+	first, _ := slices.BinarySearchFunc(list, from, func(c crashTime, at boottime.Instant) int { return cmp.Compare(c.at, at) })
+	count := 0
+	for _, seen := range list[first:] {
+		if seen.at > to {
+			break
+		}
+		if s.find(seen.Crash) < 0 {
+			count++
+		}
+	}
+	return count
 }
 
 // MayRepeat reports whether a call may be sent to another engine after the first one
@@ -206,16 +299,38 @@
 		return false
 	}
 	s := t.suspects[key]
-	return s == nil || s.count(t.config.Spacing) <= maxRepeatCrashes
+	if s == nil {
+		return true
+	}
+	e := t.evidence(key.service, s)
+	return e.moments <= maxRepeatCrashes && !e.clump
 }
 
-// Trial reports whether one call with a blocked part may be sent to an engine now, and
-// records the trial. self tells whether this process is the one of the fleet that tries.
-func (t *Tracker) Trial(now boottime.Instant, service core.ServiceID, part core.PromptPart, self bool) bool {
+// TrialDue reports whether a trial of a blocked or suspended part is due, and since when.
+func (t *Tracker) TrialDue(now boottime.Instant, service core.ServiceID, part core.PromptPart) (since time.Duration, due bool) {
 	s := t.suspects[subject{service, part}]
-	if !self || s == nil || !t.quarantined(now, s) || now.Before(s.trialDue()) {
+	if s == nil {
+		return 0, false
+	}
+	var at boottime.Instant
+	switch {
+	case t.quarantined(now, service, s):
+		at = s.trialDue()
+	case t.suspended(now, service, s):
+		at = s.firstTrialDue()
+	default:
+		return 0, false
+	}
+	return now.Sub(at), !now.Before(at)
+}
+
+// Trial reports whether one call with a blocked or suspended part may be sent to an engine now,
+// and records the trial. self tells whether it is the turn of this process to try.
+func (t *Tracker) Trial(now boottime.Instant, service core.ServiceID, part core.PromptPart, self bool) bool {
+	if _, due := t.TrialDue(now, service, part); !self || !due {
 		return false
 	}
+	s := t.suspects[subject{service, part}]
 	s.addTrial(now)
 	s.changed(now, true)
 	t.version++
@@ -250,9 +365,6 @@
 
 // addServiceCrash remembers a crash of a service.
 func (t *Tracker) addServiceCrash(now boottime.Instant, service core.ServiceID, seen crashTime) {
-	if now.Sub(seen.at) > repeatWindow {
-		return
-	}
 	list, known := t.crashes[service]
 	if !known && len(t.crashes) >= maxServices {
 		t.dropQuietServices(now)
@@ -260,14 +372,13 @@
 			return
 		}
 	}
-	if slices.ContainsFunc(list, func(other crashTime) bool { return other.Crash == seen.Crash }) {
-		return
-	}
-	list = slices.DeleteFunc(list, func(other crashTime) bool { return now.Sub(other.at) > repeatWindow })
-	if len(list) < maxServiceCrashes {
+	if i := slices.IndexFunc(list, func(other crashTime) bool { return other.Crash == seen.Crash }); i >= 0 {
+		list[i].at = min(list[i].at, seen.at)
+	} else {
 		list = append(list, seen)
 	}
-	t.crashes[service] = list
+	slices.SortFunc(list, compareCrashes)
+	t.crashes[service] = list[max(0, len(list)-maxServiceCrashes):]
 }
 
 // dropQuietServices forgets services without a recent crash.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -45,6 +45,7 @@
 	key     subject
 	suspect *suspect
 	blocked bool
+	clump   bool
 	news    bool
 	count   int
 }
@@ -57,9 +58,9 @@
 		if s.expired(now) {
 			continue
 		}
-		count := s.count(t.config.Spacing)
+		e := t.evidence(key.service, s)
 		list = append(list, ranking{
-			key: key, suspect: s, count: count, blocked: count >= t.config.Threshold,
+			key: key, suspect: s, count: e.moments, blocked: t.blocks(e), clump: e.clump,
 			news: s.own && now.Sub(s.changedAt) <= newsTime,
 		})
 	}
@@ -70,6 +71,7 @@
 func compareRanking(a, b ranking) int {
 	return cmp.Or(
 		compareBool(b.blocked, a.blocked),
+		compareBool(b.clump, a.clump),
 		compareBool(b.news, a.news),
 		cmp.Compare(b.count, a.count),
 		cmp.Compare(b.suspect.changedAt, a.suspect.changedAt),
@@ -153,13 +155,13 @@
 	if changed {
 		s.changed(now, false)
 		if at, known := t.answered.Peek(key); known {
-			t.clear(now, s, at)
+			t.clear(now, record.Service, s, at)
 		}
 	}
 	if s.knowsBetter(record) {
 		s.changed(now, true)
 		t.version++
-	} else if changed && s.count(t.config.Spacing) > 0 {
+	} else if changed && s.uncleared() {
 		t.version++
 	}
 	return changed
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// sharedPart is the part that all calls of a scenario may have.
+	sharedPart = core.PromptPart("shared")
+	// holdTime is the longest time for which a gateway holds a call.
+	holdTime         = 2 * time.Second
 	simulatedService = core.ServiceID("pool")
 	engineCount      = 18
 	engineBatch      = 16
@@ -58,6 +62,8 @@
 	// others are crashes for other reasons.
 	others []outage
 	config quarantine.Config
+	// sharedPart tells that all calls have the same first part.
+	sharedPart bool
 	// completion tells that gateways only report complete answers, by their end.
 	completion bool
 	// anyTries tells that each gateway may try a blocked part.
@@ -69,6 +75,9 @@
 type harm struct {
 	from, harmfulFrom time.Duration
 	share             float64
+	// clump calls come at one moment, every interval, in place of a share of all calls.
+	clump    int
+	interval time.Duration
 }
 
 // outage is the end of engines, one every interval.
@@ -129,6 +138,8 @@
 	tracker     *quarantine.Tracker
 	sentVersion uint64
 	sentAt      time.Duration
+	// trials are the suspended parts of which a trial runs.
+	trials map[core.PromptPart]bool
 	// blockedSince is when the first part of a route was first found blocked.
 	blockedSince map[core.PromptPart]time.Duration
 }
@@ -145,6 +156,8 @@
 	parts    []core.PromptPart
 	harm     int // index of the harmful part, -1 for none
 	lethal   bool
+	trial    core.PromptPart
+	heldAt   time.Duration
 	sentAt   time.Duration
 	attempts int
 	begunAt  time.Duration // of the present attempt, as seen by the gateway
@@ -159,7 +172,7 @@
 	sim.report.crashes, sim.report.late = make([]int, len(s.harms)), make([]int, len(s.harms))
 	sim.fifthAt = make([]time.Duration, len(s.harms))
 	for i := range s.gateways {
-		g := &gateway{index: i, tracker: quarantine.New(s.config), blockedSince: map[core.PromptPart]time.Duration{}}
+		g := &gateway{index: i, tracker: quarantine.New(s.config), trials: map[core.PromptPart]bool{}, blockedSince: map[core.PromptPart]time.Duration{}}
 		sim.gateway = append(sim.gateway, g)
 		sim.clock.After(sim.between(0, sendInterval), func() {
 			sim.exchange(g)
@@ -171,7 +184,13 @@
 	}
 	for i, h := range s.harms {
 		sim.firstBad = min(sim.firstBad, h.harmfulFrom)
-		sim.clock.After(h.from, func() { sim.arrivals(i, callsPerSecond*h.share) })
+		sim.clock.After(h.from, func() {
+			if h.clump > 0 {
+				sim.clumps(i)
+				return
+			}
+			sim.arrivals(i, callsPerSecond*h.share)
+		})
 	}
 	for _, o := range s.others {
 		sim.firstBad = min(sim.firstBad, o.at)
@@ -203,6 +222,14 @@
 	})
 }
 
+// clumps issues several calls with a harmful part at one moment, again and again.
+func (s *simulation) clumps(harm int) {
+	for range s.harms[harm].clump {
+		s.arrive(harm)
+	}
+	s.clock.After(s.harms[harm].interval, func() { s.clumps(harm) })
+}
+
 func harmfulPart(i int) core.PromptPart { return core.PromptPart(fmt.Sprint("harmful-", i)) }
 
 func routePart(i int) core.PromptPart { return core.PromptPart(fmt.Sprint("route-", i)) }
@@ -222,6 +249,9 @@
 		parts[1+s.random.IntN(2)] = harmfulPart(harm)
 		c.lethal = s.now() >= s.harms[harm].harmfulFrom
 	}
+	if s.sharedPart {
+		parts = append([]core.PromptPart{sharedPart}, parts...)
+	}
 	c.parts = parts
 	s.offer(c)
 }
@@ -229,7 +259,7 @@
 // offer sends a call to an engine unless it is blocked.
 func (s *simulation) offer(c *call) {
 	now := s.instant(c.gateway)
-	if c.attempts == 0 {
+	if c.attempts == 0 && c.heldAt == 0 {
 		s.countSent(c)
 	}
 	part, blocked := c.gateway.tracker.Blocked(now, simulatedService, c.parts)
@@ -239,10 +269,20 @@
 		}
 		return
 	}
+	part, suspended := c.gateway.tracker.Suspended(now, simulatedService, c.parts)
+	if suspended && !blocked && !s.mayTry(c, part) {
+		s.hold(c)
+		return
+	}
 	e := s.choose()
 	if e == nil {
 		return
 	}
+	if suspended && !blocked {
+		c.gateway.tracker.Trial(now, simulatedService, part, true)
+		c.gateway.trials[part], c.trial = true, part
+	}
+	c.heldAt = 0
 	c.attempts++
 	c.running, c.begun = true, false
 	if c.harm >= 0 && s.fifthAt[c.harm] > 0 && s.now() > s.fifthAt[c.harm]+afterFifth {
@@ -253,6 +293,38 @@
 	s.clock.After(s.between(150*time.Millisecond, 400*time.Millisecond), func() { s.begin(e, boot, c) })
 }
 
+// mayTry reports whether a gateway may send a call as the trial of a suspended part.
+func (s *simulation) mayTry(c *call, part core.PromptPart) bool {
+	dueFor, due := c.gateway.tracker.TrialDue(s.instant(c.gateway), simulatedService, part)
+	if !due || c.gateway.trials[part] {
+		return false
+	}
+	turn, open := quarantine.Turn(dueFor, len(s.gateway))
+	return open && turn == c.gateway.index
+}
+
+// hold offers a call again a little later, until it has been held for holdTime.
+func (s *simulation) hold(c *call) {
+	if c.heldAt == 0 {
+		c.heldAt = s.now()
+	}
+	if s.now()-c.heldAt >= holdTime {
+		if !c.lethal {
+			s.report.blockedCalls++
+		}
+		return
+	}
+	s.clock.After(50*time.Millisecond, func() { s.offer(c) })
+}
+
+// endTrial allows the next trial of the part that a call tried.
+func (c *call) endTrial() {
+	if c.trial != "" {
+		delete(c.gateway.trials, c.trial)
+		c.trial = ""
+	}
+}
+
 // choose returns the engine with the fewest calls of two that have room.
 func (s *simulation) choose() *engine {
 	var best *engine
@@ -317,6 +389,7 @@
 			return
 		}
 		c.running = false
+		c.endTrial()
 		switch {
 		case s.completion:
 			c.gateway.tracker.Answered(s.instant(c.gateway), simulatedService, c.parts)
@@ -356,6 +429,7 @@
 	var candidates [][]core.PromptPart
 	for _, c := range calls {
 		c.running = false
+		c.endTrial()
 		if !c.begun || s.now()-c.begunAt < suspectWindow {
 			candidates = append(candidates, c.parts)
 		}
@@ -454,8 +528,11 @@
 // checkRoutes measures how long gateways keep the first part of a route blocked.
 func (s *simulation) checkRoutes() {
 	for _, g := range s.gateway[:min(len(s.gateway), 10)] {
-		for i := range routeCount {
+		for i := range routeCount + 1 {
 			part := routePart(i)
+			if i == routeCount {
+				part = sharedPart
+			}
 			since, known := g.blockedSince[part]
 			_, blocked := g.tracker.Blocked(s.instant(g), simulatedService, []core.PromptPart{part})
 			switch {
@@ -482,6 +559,9 @@
 		}
 	}
 	check("route-", routeCount)
+	if _, blocked := s.gateway[0].tracker.Blocked(s.instant(s.gateway[0]), simulatedService, []core.PromptPart{sharedPart}); blocked {
+		count++
+	}
 	check("customer-", customerCount)
 	check("document-", documentCount)
 	return count
@@ -553,6 +633,37 @@
 	}
 }
 
+// BUDGET: engines that ended at one moment under calls with one part counted as one.
+func TestHarmfulCallsThatComeAtOneMomentEndFewEngines(t *testing.T) {
+	for _, gateways := range []int{2, 7, 38} {
+		for _, clump := range []int{4, 6, 12} {
+			for _, interval := range []time.Duration{1500 * time.Millisecond, 5 * time.Second, 20 * time.Second} {
+				play(t, fmt.Sprint("clumps of ", clump, " every ", interval), 2, scenario{
+					gateways: gateways, seconds: 70,
+					harms: []harm{{from: 3 * time.Second, harmfulFrom: 3 * time.Second, clump: clump, interval: interval}},
+				}, expectContained)
+			}
+		}
+	}
+}
+
+// LOST: calls that share a part were rejected after power failures.
+func TestPowerFailuresDoNotBlockAPartOfAllCalls(t *testing.T) {
+	for _, engines := range []int{2, engineCount / 2, engineCount} {
+		for _, interval := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+			day := scenario{gateways: 7, seconds: 40, sharedPart: true}
+			for i := range 5 {
+				day.others = append(day.others, outage{at: 4*time.Second + time.Duration(i)*interval, engines: engines})
+			}
+			play(t, fmt.Sprint(engines, " engines every ", interval), 3, day, func(g *WithT, r report) {
+				g.Expect(r.blockedRoutes).To(BeNumerically("<=", time.Second))
+				g.Expect(float64(r.blockedCalls)).To(BeNumerically("<=", 0.02*float64(r.total)))
+				g.Expect(r.stillBlocked).To(BeZero())
+			})
+		}
+	}
+}
+
 // Popular parts were blocked after a power failure, and some of them for ever.
 func TestCrashesForOtherReasonsHardlyBlockAnyPart(t *testing.T) {
 	const at = 4 * time.Second
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -14,10 +15,18 @@
 // messageDelay is by how much a crash that another process reports may appear late.
 const messageDelay = 500 * time.Millisecond
 
-// trialDelays are the times after the last crash or trial at which the next trial is due,
-// by the number of trials before it. The last one repeats.
+// trialDelays are the times after the last crash or trial at which the next trial of a blocked
+// part is due, by the number of trials before it. The last one repeats.
 var trialDelays = [...]time.Duration{20 * time.Second, 80 * time.Second, 5 * time.Minute}
 
+const (
+	// settleDelay is the time after the last crash at which the first trial of a suspended part
+	// is due: by then all processes know of the crash.
+	settleDelay = time.Second
+	// trialRepeat is the time after a trial without an outcome at which the next one is due.
+	trialRepeat = 5 * time.Second
+)
+
 // crashTime is a crash and the earliest time at which it is known to have been seen.
 type crashTime struct {
 	Crash
@@ -102,10 +111,11 @@
 	return slices.IndexFunc(s.crashes, func(known crashTime) bool { return known.Crash == crash })
 }
 
-func (s *suspect) sort() {
-	slices.SortFunc(s.crashes, func(a, b crashTime) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Boot, b.Boot))
-	})
+func (s *suspect) sort() { slices.SortFunc(s.crashes, compareCrashes) }
+
+// compareCrashes orders crashes by time.
+func compareCrashes(a, b crashTime) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Boot, b.Boot))
 }
 
 // clear marks the crashes that may have been before an instant as cleared and reports whether any was not.
@@ -119,18 +129,39 @@
 	return changed
 }
 
-// count returns the number of separate crashes since the last answer: those that are at
-// least spacing apart.
-func (s *suspect) count(spacing time.Duration) int {
-	count := 0
-	var last boottime.Instant
-	for _, known := range s.crashes {
-		if !known.cleared && (count == 0 || known.at.Sub(last) >= spacing) {
-			count++
-			last = known.at
+// moment is a group of crashes that are less than the spacing after the first of them and
+// that no answer has cleared.
+type moment struct {
+	first, last boottime.Instant
+	engines     int
+}
+
+// moments returns the separate crashes since the last answer: those that are at least
+// spacing apart, with the ones that are nearer.
+func (s *suspect) moments(spacing time.Duration) iter.Seq[moment] {
+	return func(yield func(moment) bool) {
+		var current moment
+		for _, known := range s.crashes {
+			switch {
+			case known.cleared:
+			case current.engines > 0 && known.at.Sub(current.first) < spacing:
+				current.engines++
+				current.last = known.at
+			case current.engines > 0 && !yield(current):
+				return
+			default:
+				current = moment{first: known.at, last: known.at, engines: 1}
+			}
+		}
+		if current.engines > 0 {
+			yield(current)
 		}
 	}
-	return count
+}
+
+// uncleared reports whether a crash is known that no answer has cleared.
+func (s *suspect) uncleared() bool {
+	return slices.ContainsFunc(s.crashes, func(known crashTime) bool { return !known.cleared })
 }
 
 // expired reports whether the last crash is too old to matter.
@@ -154,7 +185,7 @@
 	return 0
 }
 
-// trialDue returns when the next trial is due.
+// trialDue returns when the next trial of a blocked part is due.
 func (s *suspect) trialDue() boottime.Instant {
 	trials := s.currentTrials()
 	since := s.lastCrash()
@@ -164,6 +195,16 @@
 	return since.Add(trialDelays[min(trials, len(trialDelays)-1)])
 }
 
+// firstTrialDue returns when the next trial of a suspended part is due. A trial that ended
+// neither in a crash nor in an answer is repeated.
+func (s *suspect) firstTrialDue() boottime.Instant {
+	due := s.lastCrash().Add(settleDelay)
+	if s.currentTrials() > 0 {
+		due = max(due, s.triedAt.Add(trialRepeat))
+	}
+	return due
+}
+
 // addTrial records a trial.
 func (s *suspect) addTrial(now boottime.Instant) {
 	s.trials, s.triedAt = min(s.currentTrials()+1, maxTrials), now
