--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -218,7 +218,7 @@
 func (s *session) streamFailed(err error) (placement.Outcome, step) {
 	s.lost = s.ctx.Err() == nil
 	s.gateway.log.Warn("Stream interrupted; the attempt failed.", "request", s.admitted.call.ID, "endpoint", s.endpoint.ID, "begunMs", s.begunMs(),
-		"parts", s.admitted.call.SharedParts, "events", s.events, "last", s.lastEvent, "err", err)
+		"parts", loggedParts(s.admitted.call.SharedParts), "events", s.events, "last", s.lastEvent, "err", err)
 	return placement.OutcomeFailed, stepRetry
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -73,7 +73,7 @@
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
 		"weights", decision.Weights, "ranOn", answer.Classification.Weights, "newestWeights", decision.NewestWeights, "supersededMs", supersededMs(decision),
-		"begunMs", s.begunMs(), "parts", s.admitted.call.SharedParts,
+		"begunMs", s.begunMs(), "parts", loggedParts(s.admitted.call.SharedParts),
 		"prompt", s.admitted.call.PromptTokens, "output", s.admitted.call.OutputTokens, "maxOutput", s.admitted.call.MaxOutputTokens)
 	return next
 }
@@ -115,7 +115,7 @@
 	}
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Warn("Attempt failed.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "sent", !notSent, "outcome", outcome,
-		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", s.admitted.call.SharedParts,
+		"sinceSentMs", s.gateway.now().Sub(s.sentAt).Milliseconds(), "parts", loggedParts(s.admitted.call.SharedParts),
 		"load", decision.Load, "expectedMs", decision.Expected.Milliseconds(), "pathMs", decision.PathDelay.Milliseconds(),
 		"viewAgeMs", decision.ViewAge.Milliseconds(), "unregistered", decision.Unregistered,
 		"startLimit", decision.StartLimit, "starts", decision.Starts, "granted", decision.Granted, "grantAgeMs", decision.GrantAge.Milliseconds(),
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -384,13 +386,37 @@
 // judge records the outcome of a probe for a loss. The caller must hold q.mu.
 func (q *quarantineGuard) judge(service core.ServiceID, crash quarantine.Crash, l *loss, err error) {
 	l.ended = errors.Is(err, syscall.ECONNREFUSED)
-	q.log.Info("Connections to an engine were lost.", "endpoint", crash.Endpoint, "boot", crash.Boot, "ended", l.ended, "possibleCauses", len(l.calls), "parts", l.calls, "probe", err)
+	q.log.Info("Connections to an engine were lost.", "endpoint", crash.Endpoint, "boot", crash.Boot, "ended", l.ended, "possibleCauses", len(l.calls), "parts", loggedCalls(l.calls), "probe", err)
 	if l.ended {
 		q.crashed(q.now(), service, crash, l.calls)
 	}
 	close(l.probed)
 }
 
+// maxLoggedParts is how many parts of a prompt a log line has, maxLoggedCalls of how many calls.
+const (
+	maxLoggedParts = 32
+	maxLoggedCalls = 16
+)
+
+// loggedParts returns the parts of a prompt for a log line, with the number of those that are
+// left out.
+func loggedParts(parts []core.PromptPart) []core.PromptPart {
+	if len(parts) <= maxLoggedParts {
+		return parts
+	}
+	return append(slices.Clone(parts[:maxLoggedParts]), core.PromptPart(fmt.Sprintf("+%d", len(parts)-maxLoggedParts)))
+}
+
+// loggedCalls returns the parts of several calls for a log line.
+func loggedCalls(calls [][]core.PromptPart) [][]core.PromptPart {
+	logged := make([][]core.PromptPart, 0, min(len(calls), maxLoggedCalls))
+	for _, parts := range calls[:min(len(calls), maxLoggedCalls)] {
+		logged = append(logged, loggedParts(parts))
+	}
+	return logged
+}
+
 // crashed records the calls that may have ended an engine. The caller must hold q.mu.
 func (q *quarantineGuard) crashed(now boottime.Instant, service core.ServiceID, crash quarantine.Crash, calls [][]core.PromptPart) {
 	q.tracker.Crashed(now, service, crash, calls)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -246,7 +246,7 @@
 	ended := s.gateway.quarantine.connectionLost(s)
 	if ended && next != stepDone && !s.gateway.quarantine.mayRepeat(s) {
 		s.gateway.log.Warn("The engine of the call ended, and the call may be the cause; it is not sent again.", "request", s.admitted.call.ID,
-			"endpoint", s.endpoint.ID, "boot", s.endpoint.Boot, "parts", s.admitted.call.SharedParts, "sends", s.sends)
+			"endpoint", s.endpoint.ID, "boot", s.endpoint.Boot, "parts", loggedParts(s.admitted.call.SharedParts), "sends", s.sends)
 		return stepUnknown
 	}
 	return next
