quarantine: a part blocked by the trial of a suspended part is tried again after 20 s

What callers would see: a sound part whose trial ends with its engine for another reason stays away for 80 s, where one that four separate crashes block comes back after 20 s.

Cause: the delay of the next trial follows from the number of trials, and the one from before the part was blocked was among them.

Change: it is not. The trials after the block follow 20 s, 80 s and 5 min after the one before, as for a part with four separate crashes. Within 400 s of the fifth end at most three calls pass.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -189,7 +189,7 @@
 		if s == nil || !t.quarantined(now, service, s) {
 			continue
 		}
-		if due := s.trialDue(); !blocked || due > last {
+		if due := t.blockedTrialDue(service, s); !blocked || due > last {
 			part, blocked, last = candidate, true, due
 		}
 	}
@@ -315,7 +315,7 @@
 	var at boottime.Instant
 	switch {
 	case t.quarantined(now, service, s):
-		at = s.trialDue()
+		at = t.blockedTrialDue(service, s)
 	case t.suspended(now, service, s):
 		at = s.firstTrialDue()
 	default:
@@ -324,6 +324,14 @@
 	return now.Sub(at), !now.Before(at)
 }
 
+// blockedTrialDue returns when the next trial of a blocked part is due.
+func (t *Tracker) blockedTrialDue(service core.ServiceID, s *suspect) boottime.Instant {
+	if t.evidence(service, s).moments < t.config.Threshold {
+		return s.trialDue(1) // blocked by the trial of a suspended part
+	}
+	return s.trialDue(0)
+}
+
 // Trial reports whether one call with a blocked or suspended part may be sent to an engine now,
 // and records the trial. self tells whether it is the turn of this process to try.
 func (t *Tracker) Trial(now boottime.Instant, service core.ServiceID, part core.PromptPart, self bool) bool {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -185,14 +185,15 @@
 	return 0
 }
 
-// trialDue returns when the next trial of a blocked part is due.
-func (s *suspect) trialDue() boottime.Instant {
+// trialDue returns when the next trial of a blocked part is due. before is the number of trials
+// from before it was blocked.
+func (s *suspect) trialDue(before int) boottime.Instant {
 	trials := s.currentTrials()
 	since := s.lastCrash()
 	if trials > 0 {
 		since = max(since, s.triedAt)
 	}
-	return since.Add(trialDelays[min(trials, len(trialDelays)-1)])
+	return since.Add(trialDelays[min(max(trials-before, 0), len(trialDelays)-1)])
 }
 
 // firstTrialDue returns when the next trial of a suspended part is due. A trial that ended
