quarantine, agent, gateway: parts are counted where the reports of gateways meet

Cause: a gateway sends the 32 parts that matter most to it. A part with one crash is one of hundreds then, and was told only once some gateway had seen two. Beside it: 1,024 suspects, displaced by the next crash that cuts ten calls of 300 parts; 8,192 answers, filled by 40 calls of 200 parts; agents did not pass on that a suspicious part was cleared.

Change: after an end a gateway reports the parts of the calls that it had there once (Cut, at most 4,096 parts a message), to three agents that are now the same for all gateways. The agents count them as they count records, and send records of parts with several crashes on. Tables of 16,384 and 65,536 entries, answers for a minute; keys no longer keep the header of their call alive; records are chosen once for a change and not for each message.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -415,3 +415,33 @@
 	late := follow(t, address, "late", "r")
 	g.Eventually(endsKnownTo(late), time.Second, 10*time.Millisecond).Should(both, "a gateway that has just started")
 }
+
+// A part that each gateway saw at one crash among hundreds of others reached no other gateway.
+func TestAPartOfLongPromptsThatTwoGatewaysReportReachesAllGateways(t *testing.T) {
+	g := NewWithT(t)
+	address := startFor(t, newSingleCopyEngine())
+	first, second := follow(t, address, "first", "r"), follow(t, address, "second", "r2")
+	report := func(gw *gateway, engine string) {
+		var parts []string
+		for i := range 500 {
+			parts = append(parts, fmt.Sprintf("%s-%d", engine, i))
+		}
+		ended := &peerpb.EndedParts{Service: "s", End: &peerpb.EngineEnd{Endpoint: engine, Boot: 1, AgeMs: 10}, Parts: append(parts, "p")}
+		g.Expect(gw.stream.Send(&peerpb.GatewayNews{EndedParts: []*peerpb.EndedParts{ended}})).To(Succeed())
+	}
+	report(first, "e1")
+	report(second, "e2")
+	for _, gw := range []*gateway{first, second} {
+		g.Eventually(func() int {
+			ends := 0
+			for _, status := range gw.received() {
+				for _, record := range status.GetPromptParts() {
+					if record.GetPart() == "p" {
+						ends = max(ends, len(record.GetEnds()))
+					}
+				}
+			}
+			return ends
+		}, time.Second, 10*time.Millisecond).Should(Equal(2))
+	}
+}
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -154,7 +154,7 @@
 			return err
 		}
 		f.agent.learnDeclarations(message.GetDeclarations())
-		f.agent.learnRecords(message.GetPromptParts())
+		f.agent.learnParts(message.GetPromptParts(), message.GetEndedParts())
 		if fleet := message.GetFleet(); fleet != nil {
 			f.agent.updater.offerDeclaration(fleet)
 		}
--- a/agent/prompt_parts.go
+++ b/agent/prompt_parts.go
@@ -13,15 +13,17 @@
 // gateways ignore records that may have waited while they were suspended.
 const recordRepeat = 3 * time.Second
 
-// learnRecords applies a gateway's records of prompt parts and passes new ones on to all
-// gateways.
-func (a *Agent) learnRecords(encoded []*peerpb.PromptPartRecord) {
-	if len(encoded) == 0 || !a.pauses.RanFor(settleTime) {
+// learnParts applies what a gateway knows of prompt parts and passes records that are new on to
+// all gateways.
+func (a *Agent) learnParts(records []*peerpb.PromptPartRecord, ended []*peerpb.EndedParts) {
+	if len(records)+len(ended) == 0 || !a.pauses.RanFor(settleTime) {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.promptParts.Learn(boottime.Now(), peers.DecodeRecords(encoded)) {
+	now := boottime.Now()
+	changed := a.promptParts.LearnCuts(now, peers.DecodeCuts(ended))
+	if a.promptParts.Learn(now, peers.DecodeRecords(records)) || changed {
 		a.publish(a.status)
 	}
 }
--- a/gateway/agent_messages.go
+++ b/gateway/agent_messages.go
@@ -32,12 +32,16 @@
 // recorded in sent. Each message also carries the ages of recent declarations and a clock
 // that the agent returns; a message with these alone is sent after demandRepeat.
 func (a *agents) nextMessage(link *agentLink, sent *sentNews) (*peerpb.GatewayNews, <-chan struct{}) {
-	records, version := a.gateway.quarantine.records()
+	var parts partNews
+	if a.sendsParts(link) {
+		parts = a.gateway.quarantine.news(sent.lastCut)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	news := link.newsSince(sent, a.gateway.relay)
-	news.records = len(records) > 0 && (version != sent.records || now.Sub(sent.recordsAt) >= recordRepeat) && a.sendsRecords(link)
+	news.records = len(parts.records) > 0 && (parts.version != sent.records || now.Sub(sent.recordsAt) >= recordRepeat)
+	news.cuts = len(parts.cuts) > 0
 	sentMs := uint64(time.Duration(a.scheduler.now()).Milliseconds())
 	if news == (unsent{}) && link.lease == sent.LeaseNumber && sentMs-sent.SentMs < uint64(demandRepeat.Milliseconds()) {
 		return nil, link.changed
@@ -65,7 +69,10 @@
 		sent.Manifest = message.Manifest
 	}
 	if news.records {
-		message.PromptParts, sent.records, sent.recordsAt = peers.EncodeRecords(records), version, now
+		message.PromptParts, sent.records, sent.recordsAt = peers.EncodeRecords(parts.records), parts.version, now
+	}
+	if news.cuts {
+		message.EndedParts, sent.lastCut = peers.EncodeCuts(parts.cuts), parts.lastCut
 	}
 	message.LeaseNumber, sent.LeaseNumber = link.lease, link.lease
 	message.StartsSent = uint32(a.scheduler.startsSent(link.address))
@@ -75,9 +82,9 @@
 }
 
 // unsent are the values that have not been sent to an agent.
-type unsent struct{ name, fleet, members, demand, relay, manifest, records bool }
+type unsent struct{ name, fleet, members, demand, relay, manifest, records, cuts bool }
 
-// newsSince returns the values other than records that differ from those sent on a stream.
+// newsSince returns the values other than records and cuts that differ from those sent on a stream.
 // The caller must hold agents.mu.
 func (link *agentLink) newsSince(sent *sentNews, relay *relay) unsent {
 	return unsent{
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -66,9 +66,20 @@
 }
 
 func TestOnePartOfPromptsDoesNotCrashEngineAfterEngine(t *testing.T) {
+	testOneHarmfulPart(t, 0)
+}
+
+// BUDGET: a harmful part that was one of hundreds in each prompt crashed engine after engine.
+func TestOnePartOfLongPromptsDoesNotCrashEngineAfterEngine(t *testing.T) {
+	testOneHarmfulPart(t, 200)
+}
+
+func testOneHarmfulPart(t *testing.T, ownParts int) {
+	t.Helper()
 	g := NewWithT(t)
 	f := startFleet(t)
 	c := newCallers(t, f)
+	c.ownParts = ownParts
 	c.send(warmUp, false)
 	calm := time.Now()
 	c.send(time.Second, false)
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -24,16 +24,20 @@
 	// records is the version of the quarantine's records.
 	records   uint64
 	recordsAt time.Time
+	// lastCut is the number of the last of the quarantine's cuts.
+	lastCut uint64
 }
 
-// sendsRecords reports whether an agent is one of the recordHubs agents to which this
-// process sends records of prompt parts. Each agent passes them on to all gateways. They are
-// chosen by rendezvous hashing.
-func (a *agents) sendsRecords(link *agentLink) bool {
+// sendsParts reports whether an agent is one of the recordHubs agents to which this
+// process sends records and cuts of prompt parts. Each agent passes records on to all gateways.
+// All gateways choose the same agents, by rendezvous hashing, so that parts are counted there.
+func (a *agents) sendsParts(link *agentLink) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	before := 0
-	own := xxh3.HashString(a.name + link.address)
+	own := xxh3.HashString(link.address)
 	for address, other := range a.current {
-		if other.connected && xxh3.HashString(a.name+address) < own {
+		if other.connected && xxh3.HashString(address) < own {
 			before++
 		}
 	}
--- a/peers/prompt_parts_test.go
+++ b/peers/prompt_parts_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/zinniaseam/zinniaseam/core"
 	"github.com/zinniaseam/zinniaseam/peers"
 	"github.com/zinniaseam/zinniaseam/quarantine"
 )
@@ -31,3 +32,13 @@
 	g.Expect(decoded[0].TrialAge).To(BeNumerically(">", 49*24*time.Hour))
 	g.Expect(decoded[1].TrialAge).To(BeZero())
 }
+
+func TestCutsArriveUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	crash := quarantine.Crash{Endpoint: "e", Boot: 7}
+	cuts := []quarantine.Cut{
+		{Service: "s", CrashAge: quarantine.CrashAge{Crash: crash, Age: 1200 * time.Millisecond}, Parts: []core.PromptPart{"p", "q"}},
+		{Service: "s", CrashAge: quarantine.CrashAge{Crash: crash, Cleared: true}, Parts: []core.PromptPart{"q"}},
+	}
+	g.Expect(peers.DecodeCuts(peers.EncodeCuts(cuts))).To(Equal(cuts))
+}
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -58,6 +58,13 @@
 		records := (&fuzzReader{data}).records()
 		tracker.Learn(start, records)
 		tracker.Learn(start.Add(time.Second), records)
+		var cuts []quarantine.Cut
+		for _, record := range records {
+			for _, known := range record.Crashes {
+				cuts = append(cuts, quarantine.Cut{Service: record.Service, CrashAge: known, Parts: []core.PromptPart{record.Part, "b"}})
+			}
+		}
+		tracker.LearnCuts(start.Add(time.Second), cuts)
 		sent := tracker.Records(start.Add(time.Second))
 		if len(sent) > 32 {
 			t.Fatalf("%d records are sent", len(sent))
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,8 +14,8 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -45,10 +45,11 @@
 	// retention is how long a part is remembered after its last crash.
 	retention = time.Hour
 	// maxSuspects bounds the parts that are tracked because of a crash.
-	maxSuspects = 1024
-	// maxAnswered bounds the parts whose last answer is remembered. An entry takes about
-	// 250 bytes, the table about 2 MB.
-	maxAnswered = 8192
+	maxSuspects = 16384
+	// maxAnswered bounds the parts whose last answer is remembered, for answerRetention. An
+	// entry takes about 250 bytes.
+	maxAnswered     = 65536
+	answerRetention = time.Minute
 	// maxServiceCrashes bounds the crashes that are remembered for each service.
 	maxServiceCrashes = 256
 	// maxServices bounds the services for which crashes are remembered.
@@ -94,6 +95,12 @@
 	part    core.PromptPart
 }
 
+// owned returns a copy that does not keep the text alive from which the part was cut.
+func (k subject) owned() subject {
+	k.part = core.PromptPart(strings.Clone(string(k.part)))
+	return k
+}
+
 // Tracker combines what several processes know about crashes of engines and the parts of
 // the calls that were cut. It is not safe for concurrent use.
 type Tracker struct {
@@ -105,6 +112,14 @@
 	// crashes are the last crashes of each service, ordered by time.
 	crashes map[core.ServiceID][]crashTime
 	version uint64
+	// reports are what this process saw lately, in the order of their numbers. reported is the
+	// number of the last one.
+	reports  []report
+	reported uint64
+	// top are the parts of the last records, which were chosen for a version at topAt.
+	top        []subject
+	topVersion uint64
+	topAt      boottime.Instant
 }
 
 // New returns a tracker that knows of no crash.
@@ -125,6 +140,10 @@
 // processes should learn.
 func (t *Tracker) Version() uint64 { return t.version }
 
+// Reported returns the number of the last report, which increases whenever Cuts has something
+// new.
+func (t *Tracker) Reported() uint64 { return t.reported }
+
 // Crashed records that an engine ended. calls are the shared parts of each call that was
 // in flight there at this process and had not begun to answer, or had begun less than
 // 500 ms before.
@@ -133,9 +152,11 @@
 	t.addServiceCrash(now, service, seen)
 	for _, parts := range calls {
 		for _, part := range parts {
-			s := t.suspect(now, subject{service, part})
+			key := subject{service, part}
+			s := t.suspect(now, key)
 			if s.addCrash(seen, t.config.Spacing) {
 				s.changed(now, true)
+				t.addReport(now, key, seen)
 				t.version++
 			}
 		}
@@ -160,25 +181,48 @@
 	at = min(at, now)
 	for _, part := range parts {
 		key := subject{service, part}
-		if known, found := t.answered.Get(key); !found || at > known {
+		switch known, found := t.answered.Get(key); {
+		case !found:
+			t.answered.Add(key.owned(), at)
+		case at > known:
 			t.answered.Add(key, at)
 		}
 		if s := t.suspects[key]; s != nil {
-			t.clear(now, service, s, at)
+			t.clear(now, key, s, at)
+		}
+	}
+	for {
+		if _, oldest, found := t.answered.GetOldest(); !found || now.Sub(oldest) <= answerRetention {
+			return
 		}
+		t.answered.RemoveOldest()
 	}
 }
 
-// clear marks the crashes before an answer as cleared. A part with a single crash is not
-// near a quarantine, so that others need not be told.
-func (t *Tracker) clear(now boottime.Instant, service core.ServiceID, s *suspect, answeredAt boottime.Instant) {
-	before := t.evidence(service, s)
-	if s.clear(answeredAt) && (before.moments > maxRepeatCrashes || before.clump) {
+// clear marks the crashes before an answer as cleared, and reports those that this process had
+// reported.
+func (t *Tracker) clear(now boottime.Instant, key subject, s *suspect, answeredAt boottime.Instant) {
+	suspicious := t.suspicious(key.service, s)
+	cleared := s.clear(answeredAt)
+	for _, known := range cleared {
+		if !known.learned {
+			t.addReport(now, key, known)
+		}
+	}
+	if len(cleared) > 0 && suspicious {
 		s.changed(now, true)
+		s.relievedAt = now
 		t.version++
 	}
 }
 
+// suspicious reports whether a part has more crashes since its last answer than sound parts
+// usually have.
+func (t *Tracker) suspicious(service core.ServiceID, s *suspect) bool {
+	e := t.evidence(service, s)
+	return e.moments > maxRepeatCrashes || e.clump
+}
+
 // Blocked reports whether calls with these shared parts must not be sent to an engine. It
 // returns the blocked part whose next trial is due last: when that one may be tried, all
 // of them may.
@@ -204,85 +248,6 @@
 // blocks reports whether a part with some evidence is blocked.
 func (t *Tracker) blocks(e evidence) bool { return e.moments >= t.config.Threshold || e.failedTrial }
 
-// Suspended reports whether only one call with these shared parts may be sent to an engine at
-// a time. It returns the suspended part that was answered least recently, which is the one of
-// them that a trial tells most about.
-//
-// Load pattern: several calls with a harmful part come at one moment, at several gateways, and
-// end as many engines before any of them is known to have ended.
-func (t *Tracker) Suspended(now boottime.Instant, service core.ServiceID, parts []core.PromptPart) (part core.PromptPart, suspended bool) {
-	var oldest boottime.Instant
-	for _, candidate := range parts {
-		key := subject{service, candidate}
-		s := t.suspects[key]
-		if s == nil || !t.suspended(now, service, s) {
-			continue
-		}
-		if at, _ := t.answered.Peek(key); !suspended || at < oldest {
-			part, suspended, oldest = candidate, true, at
-		}
-	}
-	return part, suspended
-}
-
-// suspended reports whether calls with a part are sent one at a time.
-func (t *Tracker) suspended(now boottime.Instant, service core.ServiceID, s *suspect) bool {
-	if len(s.crashes) == 0 || now.Sub(s.lastCrash()) > suspension {
-		return false
-	}
-	e := t.evidence(service, s)
-	return e.clump && !t.blocks(e)
-}
-
-// evidence is what the crashes of a part since its last answer say about it.
-type evidence struct {
-	// moments is the number of separate crashes.
-	moments int
-	// clump is set if several engines ended at one of them.
-	clump bool
-	// failedTrial is set if an engine ended after the last trial of a part that had been
-	// suspended.
-	failedTrial bool
-}
-
-// evidence returns what the crashes of a part say about it. Engines that end at one moment say
-// nothing if as many or more ended then without the part.
-func (t *Tracker) evidence(service core.ServiceID, s *suspect) evidence {
-	var e evidence
-	trials := s.currentTrials()
-	for m := range s.moments(t.config.Spacing) {
-		e.moments++
-		if t.crashedWithout(service, s, m) >= m.engines {
-			continue
-		}
-		e.clump = e.clump || m.engines >= minClump
-		e.failedTrial = e.failedTrial || e.clump && trials > 0 && m.last > s.triedAt
-	}
-	return e
-}
-
-// crashedWithout returns the number of engines of a service that ended at a moment without a
-// call with the part, as far as known: a part whose list of crashes is full may have been in
-// calls at any of them. Crashes that other processes report appear late by the delay of messages.
-func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment) int {
-	if len(s.crashes) >= maxCrashes {
-		return 0
-	}
-	list := t.crashes[service]
-	from, to := m.first.Add(-messageDelay), m.last.Add(messageDelay)
-	first, _ := slices.BinarySearchFunc(list, from, func(c crashTime, at boottime.Instant) int { return cmp.Compare(c.at, at) })
-	count := 0
-	for _, seen := range list[first:] {
-		if seen.at > to {
-			break
-		}
-		if s.find(seen.Crash) < 0 {
-			count++
-		}
-	}
-	return count
-}
-
 // MayRepeat reports whether a call may be sent to another engine after the first one
 // crashed. It may if its shared parts are known to be sound, or if the crash appears to be
 // a single one.
@@ -299,11 +264,7 @@
 		return false
 	}
 	s := t.suspects[key]
-	if s == nil {
-		return true
-	}
-	e := t.evidence(key.service, s)
-	return e.moments <= maxRepeatCrashes && !e.clump
+	return s == nil || !t.suspicious(key.service, s)
 }
 
 // TrialDue reports whether a trial of a blocked or suspended part is due, and since when.
@@ -350,7 +311,7 @@
 	s := t.suspects[key]
 	if s == nil || s.expired(now) {
 		s = &suspect{}
-		t.suspects[key] = s
+		t.suspects[key.owned()] = s
 	}
 	return s
 }
@@ -380,10 +341,13 @@
 			return
 		}
 	}
-	if i := slices.IndexFunc(list, func(other crashTime) bool { return other.Crash == seen.Crash }); i >= 0 {
-		list[i].at = min(list[i].at, seen.at)
-	} else {
+	switch i := slices.IndexFunc(list, func(other crashTime) bool { return other.Crash == seen.Crash }); {
+	case i < 0:
 		list = append(list, seen)
+	case list[i].at <= seen.at:
+		return
+	default:
+		list[i].at = seen.at
 	}
 	slices.SortFunc(list, compareCrashes)
 	t.crashes[service] = list[max(0, len(list)-maxServiceCrashes):]
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -18,6 +18,8 @@
 	maxTrials = 1000
 	// newsTime is how long what this process saw itself is sent before what it learned.
 	newsTime = 2 * time.Second
+	// topTime is how long the choice of the parts of the records is kept without a change.
+	topTime = 200 * time.Millisecond
 )
 
 // Record is what a process knows of one part, with ages in place of times.
@@ -45,9 +47,11 @@
 	key     subject
 	suspect *suspect
 	blocked bool
-	clump   bool
-	news    bool
-	count   int
+	// suspicious and relieved are parts with several crashes, and those that were found to be
+	// sound lately.
+	suspicious, relieved bool
+	news                 bool
+	count                int
 }
 
 // ranked returns the parts that have not expired, the ones that matter most to other
@@ -60,7 +64,8 @@
 		}
 		e := t.evidence(key.service, s)
 		list = append(list, ranking{
-			key: key, suspect: s, count: e.moments, blocked: t.blocks(e), clump: e.clump,
+			key: key, suspect: s, count: e.moments, blocked: t.blocks(e),
+			suspicious: e.moments > maxRepeatCrashes || e.clump, relieved: s.relievedAt > 0 && now.Sub(s.relievedAt) <= newsTime,
 			news: s.own && now.Sub(s.changedAt) <= newsTime,
 		})
 	}
@@ -71,7 +76,8 @@
 func compareRanking(a, b ranking) int {
 	return cmp.Or(
 		compareBool(b.blocked, a.blocked),
-		compareBool(b.clump, a.clump),
+		compareBool(b.relieved, a.relieved),
+		compareBool(b.suspicious, a.suspicious),
 		compareBool(b.news, a.news),
 		cmp.Compare(b.count, a.count),
 		cmp.Compare(b.suspect.changedAt, a.suspect.changedAt),
@@ -93,10 +99,18 @@
 
 // Records returns what other processes should know: at most 32 parts, blocked ones first.
 func (t *Tracker) Records(now boottime.Instant) []Record {
-	ranked := t.ranked(now)
-	records := make([]Record, 0, min(len(ranked), maxRecords))
-	for _, r := range ranked[:min(len(ranked), maxRecords)] {
-		records = append(records, r.suspect.record(now, r.key))
+	if t.topVersion != t.version || now.Sub(t.topAt) > topTime || now < t.topAt {
+		ranked := t.ranked(now)
+		t.top, t.topVersion, t.topAt = t.top[:0], t.version, now
+		for _, r := range ranked[:min(len(ranked), maxRecords)] {
+			t.top = append(t.top, r.key)
+		}
+	}
+	records := make([]Record, 0, len(t.top))
+	for _, key := range t.top {
+		if s := t.suspects[key]; s != nil && !s.expired(now) {
+			records = append(records, s.record(now, key))
+		}
 	}
 	return records
 }
@@ -131,6 +145,7 @@
 	}
 	key := subject{record.Service, record.Part}
 	s := t.suspect(now, key)
+	suspicious := t.suspicious(record.Service, s)
 	changed, valid := false, false
 	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
 		if len(crash.Endpoint) > maxIDLength || crash.Age > retention {
@@ -155,11 +170,15 @@
 	if changed {
 		s.changed(now, false)
 		if at, known := t.answered.Peek(key); known {
-			t.clear(now, record.Service, s, at)
+			t.clear(now, key, s, at)
 		}
 	}
-	if s.knowsBetter(record) {
+	relieved := s.knowsBetter(record)
+	if relieved {
 		s.changed(now, true)
+	}
+	if relieved || changed && suspicious && !t.suspicious(record.Service, s) {
+		s.relievedAt = now
 		t.version++
 	} else if changed && s.uncleared() {
 		t.version++
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -59,6 +59,8 @@
 	// changed it.
 	changedAt boottime.Instant
 	own       bool
+	// relievedAt is when the part was last found to be sound although it had several crashes.
+	relievedAt boottime.Instant
 }
 
 // changed notes that other processes should learn of the part.
@@ -118,15 +120,17 @@
 	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Boot, b.Boot))
 }
 
-// clear marks the crashes that may have been before an instant as cleared and reports whether any was not.
-func (s *suspect) clear(at boottime.Instant) bool {
-	changed := false
+// clear marks the crashes that may have been before an instant as cleared and returns those that
+// were not.
+func (s *suspect) clear(at boottime.Instant) []crashTime {
+	var cleared []crashTime
 	for i := range s.crashes {
 		if known := &s.crashes[i]; known.earliest() < at && !known.cleared {
-			known.cleared, changed = true, true
+			known.cleared = true
+			cleared = append(cleared, *known)
 		}
 	}
-	return changed
+	return cleared
 }
 
 // moment is a group of crashes that are less than the spacing after the first of them and
