gateway: the rejection of a call that was held too long has a name of its own

It had the name of a local variable in two functions of the same files (suspended). No change of behaviour; the packages build and vet for x86-64 and arm64.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -44,7 +44,7 @@
 
 var (
 	quarantined      = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: quarantineRetryAfter}
-	suspended        = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: suspendedRetryAfter}
+	suspendedTooLong = &rejection{status: http.StatusServiceUnavailable, reason: core.ReasonQuarantined, retryAfter: suspendedRetryAfter}
 	engineEnds       = expvar.NewInt("engine_ends")
 	abandoned        = expvar.NewInt("calls_abandoned_by_quarantine")
 	quarantinedParts = expvar.NewInt("prompt_parts_quarantined")
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -69,7 +69,7 @@
 		}
 		switch state {
 		case partSuspended:
-			return suspended, part
+			return suspendedTooLong, part
 		case partQuarantined:
 			return quarantined, part
 		default:
