--- /dev/null
+++ b/review/standin-3/engine.go
@@ -0,0 +1,436 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	model       = "m"
+	weights     = 1
+	chunks      = 48
+	chunkBytes  = 1024
+	layers      = 4
+	engineSlots = 8
+	engineQueue = 2
+	loadTime    = 200 * time.Millisecond
+	prefillTime = 40 * time.Millisecond
+	eventTime   = 30 * time.Millisecond
+	eventCount  = 10
+	// downTime is how long a runner is away after a crash.
+	downTime = 2 * time.Second
+	// poison is the part of prompts that crashes each runner that begins to write on it.
+	poison = "deadbeef"
+)
+
+// chunk returns a piece of the weights.
+func chunk(version, index int) []byte {
+	data := make([]byte, chunkBytes)
+	copy(data, fmt.Sprintf("%s %d %d", model, version, index))
+	return data
+}
+
+// origin stands in for the origin of weights.
+type origin struct {
+	mu sync.Mutex
+	// until is the time until which manifests are corrupted. The others count what was sent.
+	until                        time.Time
+	manifests, corrupted, pieces int
+}
+
+// corruptUntil has the origin corrupt one digit of each manifest until a time.
+func (o *origin) corruptUntil(t time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.until = t
+}
+
+// corrupts counts a manifest and reports whether it is corrupted.
+func (o *origin) corrupts() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.manifests++
+	if time.Now().After(o.until) {
+		return false
+	}
+	o.corrupted++
+	return true
+}
+
+func (o *origin) report(d *deployment) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	d.note("the origin has sent %d manifests, %d of them corrupted, and %d pieces: %.1f in 100 answers were corrupted", o.manifests, o.corrupted, o.pieces,
+		100*float64(o.corrupted)/float64(o.manifests+o.pieces))
+}
+
+// flip replaces the first digit of a digest by another one.
+func flip(digest string) string {
+	if digest[0] == '0' {
+		return "1" + digest[1:]
+	}
+	return "0" + digest[1:]
+}
+
+// ServeHTTP implements http.Handler.
+func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.Atoi(r.URL.Query().Get("version"))
+	if err != nil {
+		version = weights
+	}
+	if strings.HasPrefix(r.URL.Path, "/api/manifest/") {
+		var digests []string
+		for i := range chunks {
+			digest := sha256.Sum256(chunk(version, i))
+			digests = append(digests, hex.EncodeToString(digest[:]))
+		}
+		if o.corrupts() {
+			digests[0] = flip(digests[0])
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"model": model, "version": version, "chunk-bytes": chunkBytes, "layers": layers, "digests": digests})
+		return
+	}
+	index, err := strconv.Atoi(r.URL.Query().Get("quantity"))
+	if err != nil || index < 0 || index >= chunks {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	o.mu.Lock()
+	o.pieces++
+	o.mu.Unlock()
+	_, _ = w.Write(chunk(version, index))
+}
+
+// engine stands in for a model runner. It crashes when it begins to write an answer on a prompt
+// with the poison part.
+type engine struct {
+	d       *deployment
+	host    int
+	journal *journal
+
+	mu sync.Mutex
+	// boot counts the starts; id and born are those of the present one. server is nil while the
+	// runner is down.
+	boot     int
+	id       string
+	born     time.Time
+	server   *http.Server
+	loaded   int
+	busy     bool
+	sequence int
+	running  int
+	staged   map[int][]byte
+	beats    int
+}
+
+// journal is what runners saw.
+type journal struct {
+	mu      sync.Mutex
+	poisons []arrival
+	crashes []time.Time
+	cut     int
+	// begun are the requests on which a runner began to write.
+	begun map[string]bool
+	// engines are the runners, and origin is the origin of their weights.
+	engines []*engine
+	origin  *origin
+}
+
+func (d *deployment) newEngine(host int, j *journal) error {
+	e := &engine{d: d, host: host, journal: j, staged: map[int][]byte{}, loaded: weights}
+	for i := range chunks {
+		e.staged[i] = chunk(weights, i)
+	}
+	j.engines = append(j.engines, e)
+	if err := e.start(); err != nil {
+		return err
+	}
+	go func() {
+		for {
+			e.beat()
+			time.Sleep(heartbeat)
+		}
+	}()
+	return nil
+}
+
+// start starts the runner under a new id.
+func (e *engine) start() error {
+	listener, err := net.Listen("tcp", e.d.address(e.host, portApp))
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.boot++
+	e.id, e.born, e.sequence, e.running, e.busy = fmt.Sprintf("i-%d-%d", e.host, e.boot), time.Now(), 0, 0, false
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r) })}
+	e.server = server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// beat writes the runner's entry.
+func (e *engine) beat() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return
+	}
+	e.beats++
+	e.d.store.put("servers/"+e.id, map[string]any{
+		"service": "pool", "address": e.d.address(e.host, portApp), "zone": "yard", "version": "v1", "capacity": engineSlots, "state": "ready",
+		"cold-remaining-ms": 0, "stage": "both", "models": e.models(), "layers": e.layers(), "sequence": e.beats, "born": e.born.UnixMilli(),
+	})
+}
+
+// models and layers return what the runner has loaded. The caller must hold e.mu.
+func (e *engine) models() []map[string]any {
+	if e.loaded == 0 {
+		return []map[string]any{}
+	}
+	return []map[string]any{{"name": model, "version": e.loaded, "adapters": []string{}}}
+}
+
+func (e *engine) layers() map[string]any {
+	if e.loaded == 0 {
+		return map[string]any{"from": 0, "to": 0, "version": 0}
+	}
+	return map[string]any{"from": 0, "to": layers, "version": e.loaded}
+}
+
+// crash ends the process of the runner; it starts again after downTime, without layers.
+func (e *engine) crash(id string) {
+	e.mu.Lock()
+	server, former := e.server, e.id
+	if server == nil {
+		e.mu.Unlock()
+		return
+	}
+	e.server, e.loaded = nil, 0
+	cut := e.running - 1
+	e.mu.Unlock()
+	_ = server.Close()
+	e.journal.mu.Lock()
+	e.journal.crashes = append(e.journal.crashes, time.Now())
+	e.journal.cut += cut
+	number := len(e.journal.crashes)
+	e.journal.mu.Unlock()
+	e.d.note("CRASH %d: runner %s crashes under %s; %d other requests are cut", number, former, id, cut)
+	time.AfterFunc(3*heartbeat, func() { e.d.store.removeKey("servers/" + former) })
+	time.AfterFunc(downTime, func() {
+		if err := e.start(); err != nil {
+			e.d.note("runner %s cannot start again: %v", former, err)
+			return
+		}
+		e.beat()
+	})
+}
+
+// powerOff ends the process of the runner and forgets what was staged.
+func (e *engine) powerOff() {
+	e.mu.Lock()
+	server, former := e.server, e.id
+	e.server, e.loaded, e.staged = nil, 0, map[int][]byte{}
+	e.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+	time.AfterFunc(3*heartbeat, func() { e.d.store.removeKey("servers/" + former) })
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/api/report":
+		e.report(w)
+	case r.URL.Path == "/api/order":
+		e.order(w, r)
+	case strings.HasPrefix(r.URL.Path, "/api/stage-get/"):
+		e.stageGet(w, r)
+	case strings.HasPrefix(r.URL.Path, "/api/stage-put/"):
+		e.stagePut(w, r)
+	default:
+		e.generate(w, r)
+	}
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": e.models(), "layers": e.layers(), "busy": e.busy, "sequence": e.sequence, "queued": 0, "running": e.running,
+		"kv-used": 0, "kv-total": 685000, "handles": 0, "pace": 1.0, "born": e.born.UnixMilli(),
+	})
+}
+
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation string `json:"operation"`
+		Version   int    `json:"version"`
+		Expected  *int   `json:"expected"`
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Operation != "start" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.busy, order.Expected != nil && *order.Expected != e.sequence:
+		w.WriteHeader(http.StatusConflict)
+		return
+	case e.loaded == order.Version:
+		return
+	}
+	e.sequence++
+	e.busy = true
+	boot := e.boot
+	time.AfterFunc(loadTime, func() {
+		e.mu.Lock()
+		current := e.boot == boot
+		if current {
+			e.busy, e.loaded = false, order.Version
+		}
+		e.mu.Unlock()
+		if current {
+			e.beat()
+		}
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *engine) stageGet(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	quantity := r.URL.Query().Get("quantity")
+	if quantity == "" {
+		held := []int{}
+		for index := range e.staged {
+			held = append(held, index)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"held": held})
+		return
+	}
+	index, _ := strconv.Atoi(quantity)
+	data, staged := e.staged[index]
+	if !staged {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (e *engine) stagePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	index, notNumber := strconv.Atoi(r.URL.Query().Get("quantity"))
+	if err != nil || notNumber != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[index] = data
+}
+
+// generate answers a request with a stream of events.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("X-Request-Id")
+	bad := strings.Contains(r.Header.Get("X-Prompt-Prefix"), poison+":")
+	e.mu.Lock()
+	own, loaded := e.id, e.loaded
+	e.mu.Unlock()
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Instance-Id", own)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != own {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if bad {
+		e.journal.mu.Lock()
+		e.journal.poisons = append(e.journal.poisons, arrival{id: id, at: time.Now(), runner: own})
+		e.journal.mu.Unlock()
+		e.d.note("POISON: %s reaches runner %s", id, own)
+	}
+	entered, down := e.enter(own)
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	if !entered || loaded == 0 {
+		if entered {
+			e.leave(own)
+		}
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.leave(own)
+	if !wait(r, prefillTime) {
+		return
+	}
+	if bad {
+		e.crash(id)
+		panic(http.ErrAbortHandler) // a process that has ended answers nothing
+	}
+	e.journal.mu.Lock()
+	e.journal.begun[id] = true
+	e.journal.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Response-Seal", "seal."+id)
+	w.Header().Set("X-Weight-Versions", strconv.Itoa(loaded))
+	for number := range eventCount {
+		if number > 0 && !wait(r, eventTime) {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", number+1); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// wait waits and reports whether the caller is still there.
+func wait(r *http.Request, duration time.Duration) bool {
+	select {
+	case <-time.After(duration):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// enter takes a place for a request at the runner's start with an id. down is set if that has
+// ended meanwhile.
+func (e *engine) enter(id string) (entered, down bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil || e.id != id {
+		return false, true
+	}
+	if e.running >= engineSlots+engineQueue {
+		return false, false
+	}
+	e.running++
+	return true, false
+}
+
+// leave ends a request of the runner's start with an id.
+func (e *engine) leave(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.id == id {
+		e.running--
+	}
+}
