--- a/review/standin-3/truncated.go
+++ b/review/standin-3/truncated.go
@@ -113,7 +113,7 @@
 	}
 	request.Host = "pool.example"
 	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Timeout-Ms": "10000", "Authorization": "Bearer key1", "X-Model": model, "X-Token-Count": "650,60",
+		"X-Request-Id": id, "X-Timeout-Ms": "10000", "Authorization": "Bearer key1", "X-Model": model, wire["tokens"]: "650,60",
 		"X-Prompt-Prefix": "5c1e07a2:400,91bd3f01:150," + id[8:] + ":40",
 	} {
 		request.Header.Set(name, value)
@@ -126,6 +126,6 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	events = strings.Count(string(body), "id: ")
-	d.note("%s answered %d by %s, seal %q, %d events, error %v", id, response.StatusCode, response.Header.Get("X-Instance-Id"), response.Header.Get("X-Response-Seal"), events, err)
+	d.note("%s answered %d by %s, seal %q, %d events, error %v", id, response.StatusCode, response.Header.Get("X-Instance-Id"), response.Header.Get(wire["seal"]), events, err)
 	return events, err == nil && response.StatusCode == http.StatusOK
 }
