fleet: an endpoint that leaves as a watch is cut gets no more calls

Callers' orders reached an endpoint for up to 2.5 s after it had left, and failed when it ended: one of three endpoints leaves while the store cuts the watches that wait.

Cause: "a call has failed" was read as "entries may have expired". A missing entry was kept for 2 s if more than a quarter of the endpoints lacked theirs, which one of three is.

Fix: the follower reports how long the store was away at least and at most, and fleet/lapse.go compares that with the time after which entries expire. Shorter outages remove nothing of live endpoints, so what is missing has left. In longer ones an entry of the zone that has outlasted all shows that the store was there. Only between the two the share of missing entries still decides. While watches are refused and reads are served, the content is read. Endpoints that are kept end 10 ms after their time, not up to 0.5 s.

Changed tests: Sink has an Outage in place of a bool. TestEndpointsThatLapsedInAnOutageAreKeptForTwoSeconds keeps one of two entries as it was, which happens only in an outage in which some have not expired yet: it says so now. In TestEndpointsWhoseEntriesExpiredTogether... the entries that are back are new ones, as they are after an expiry.

--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -26,6 +26,9 @@
 	// the state at the time its request was sent, so without changes the last known
 	// state becomes as old as two watch requests.
 	maxWatchWait = 2400 * time.Millisecond
+	// lapseMargin is how much less than the shortest time in which entries can expire a watch
+	// waits, so that a single watch that is cut leaves no doubt whether entries have expired.
+	lapseMargin = 350 * time.Millisecond
 	// relayMemoryShare and relayLinkShare are the fractions of the VM's memory and
 	// link bandwidth that the weight relay may use; calls take precedence.
 	relayMemoryShare = 0.125
@@ -50,10 +53,16 @@
 }
 
 // watchWait returns how long a watch request to the store waits for changes.
-func watchWait(bounds platform.Bounds) time.Duration {
-	return min(maxWatchWait, time.Duration(watchShare*float64(bounds.KeyRevocation)))
+func watchWait(s *platform.Settings) time.Duration {
+	wait := min(maxWatchWait, time.Duration(watchShare*float64(s.Bounds.KeyRevocation)))
+	if unexpired := s.RenewalInterval.MinLapse() - lapseMargin; unexpired > 0 {
+		wait = min(wait, unexpired)
+	}
+	return wait
 }
 
+func provideRenewalInterval(s *platform.Settings) fleet.RenewalInterval { return s.RenewalInterval }
+
 func provideConfig(o *platform.Options, s *platform.Settings) gateway.Config {
 	return gateway.Config{
 		Name: s.VM, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
@@ -61,7 +70,7 @@
 		Contention: s.Contention,
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetrySlack: s.Bounds.RetrySlack,
 		MetricsListen: o.MetricsListen(s),
-		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s.Bounds),
+		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s),
 		BodyMemory: o.BodyMemory(s), CallerConnections: s.CallerConnections(),
 		Relay: gateway.RelayConfig{
 			Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), PeerConnections: s.PeerConnections(), Zone: s.Zone, Region: s.Region,
--- a/cmd/zsgateway/wire.go
+++ b/cmd/zsgateway/wire.go
@@ -20,7 +20,7 @@
 func initialize(opts *platform.Options, start time.Time) (*platform.Process, error) {
 	wire.Build(
 		platform.ProvideSettings, platform.ProvideLines, platform.ProvideLogger, platform.ProvideClock,
-		provideDecoder, provideStore, platform.NewOrigin, wire.Bind(new(transfer.WeightSource), new(*platform.Origin)),
+		provideDecoder, provideRenewalInterval, provideStore, platform.NewOrigin, wire.Bind(new(transfer.WeightSource), new(*platform.Origin)),
 		provideDialect, providePlacement, provideConfig,
 		fleet.NewTracker, placement.New, gateway.New, wire.Bind(new(program.Runner), new(*gateway.Gateway)), wire.Struct(new(platform.Process), "*"),
 	)
--- a/cmd/zsgateway/wire_gen.go
+++ b/cmd/zsgateway/wire_gen.go
@@ -25,6 +25,7 @@
 	dialect := provideDialect()
 	store := provideStore(settings)
 	origin := platform.NewOrigin()
+	renewalInterval := provideRenewalInterval(settings)
 	decoder := provideDecoder(settings)
 	clock := platform.ProvideClock()
 	asyncWriter := platform.ProvideLines()
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracker := fleet.NewTracker(decoder, clock, logger)
+	tracker := fleet.NewTracker(renewalInterval, decoder, clock, logger)
 	placementConfig := providePlacement(settings)
 	placer := placement.New(placementConfig)
 	gatewayGateway, err := gateway.New(config, dialect, store, origin, tracker, placer, clock, logger)
--- a/fleet/departure_test.go
+++ b/fleet/departure_test.go
@@ -30,9 +30,9 @@
 func TestAnEndpointThatLeavesWhileOnlyThisProcessHasLostTheStoreIsGoneAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: entriesOf(18)}, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: entriesOf(18)}, *now, metastore.Outage{})
 	*now = now.Add(6 * time.Second)
-	tracker.Replace(metastore.Snapshot{Items: entriesOf(18, 3)}, *now, true)
+	tracker.Replace(metastore.Snapshot{Items: entriesOf(18, 3)}, *now, longOutage)
 	g.Expect(tracker.View().Endpoints).To(HaveLen(17))
 	g.Expect(tracker.View().Endpoints).NotTo(HaveKey(BeEquivalentTo("3")))
 }
@@ -41,9 +41,9 @@
 func TestEndpointsWhoseEntriesExpiredTogetherAreKeptUntilTheyRegisterAgain(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: entriesOf(18)}, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: entriesOf(18)}, *now, metastore.Outage{})
 	*now = now.Add(6 * time.Second)
-	tracker.Replace(metastore.Snapshot{Items: entriesOf(18, 0, 1, 2, 3, 4, 5, 6, 7)}, *now, true)
+	tracker.Replace(metastore.Snapshot{Items: registeredAgain(entriesOf(18, 0, 1, 2, 3, 4, 5, 6, 7), 9)}, *now, longOutage)
 	g.Expect(tracker.View().Endpoints).To(HaveLen(18))
 	*now = now.Add(2100 * time.Millisecond)
 	tracker.Expire()
--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -14,17 +14,6 @@
 	"github.com/zinniaseam/zinniaseam/metastore"
 )
 
-const (
-	// reregistrationGrace is how long an endpoint is kept whose entry is missing after a
-	// store outage. Live endpoints register again within two seconds of the store's
-	// recovery.
-	reregistrationGrace = 2 * time.Second
-	// maxDepartedShare is the share of the endpoints up to which missing entries are those
-	// of endpoints that have left. The entries of live endpoints expire together, if the
-	// store is away for all of them.
-	maxDepartedShare = 0.25
-)
-
 // Record is a decoded entry of the store: DeploymentRecord, VersionRecord,
 // ZoneOutRecord or EndpointRecord.
 type Record interface{ isRecord() }
@@ -64,6 +53,7 @@
 
 // Tracker builds views from the entries of the store. It is safe for concurrent use.
 type Tracker struct {
+	renewal RenewalInterval
 	decoder Decoder
 	now     boottime.Clock
 	log     *log.Logger
@@ -81,8 +71,8 @@
 var malformedEntries = expvar.NewInt("store_entries_malformed")
 
 // NewTracker returns a tracker with an empty view.
-func NewTracker(decoder Decoder, now boottime.Clock, logger *log.Logger) *Tracker {
-	t := &Tracker{decoder: decoder, now: now, log: logger, missing: map[EndpointID]boottime.Instant{}, malformed: map[string]string{}}
+func NewTracker(renewal RenewalInterval, decoder Decoder, now boottime.Clock, logger *log.Logger) *Tracker {
+	t := &Tracker{renewal: renewal, decoder: decoder, now: now, log: logger, missing: map[EndpointID]boottime.Instant{}, malformed: map[string]string{}}
 	t.view.Store(NewView())
 	return t
 }
@@ -249,14 +239,28 @@
 	}
 }
 
+// NextExpiry returns the time until Expire has an endpoint to remove; waiting is false if there
+// is none.
+func (t *Tracker) NextExpiry() (left time.Duration, waiting bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, removeAt := range t.missing {
+		if wait := max(removeAt.Sub(now), 0); !waiting || wait < left {
+			left, waiting = wait, true
+		}
+	}
+	return left, waiting
+}
+
 // Expire removes the endpoints that did not register again within reregistrationGrace
 // after a store outage.
 func (t *Tracker) Expire() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.missing) == 0 {
+	if left, waiting := t.NextExpiry(); !waiting || left > 0 {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := t.now()
 	next := t.view.Load().clone()
 	for id, removeAt := range t.missing {
@@ -271,13 +275,14 @@
 }
 
 // Replace implements metastore.Sink. Declarations and versions are kept, since they
-// never revert to older ones. After an outage, endpoints without an entry are kept for
-// reregistrationGrace.
-func (t *Tracker) Replace(snapshot metastore.Snapshot, confirmed boottime.Instant, recovered bool) {
+// never revert to older ones. After an outage, endpoints whose entries may have expired are
+// kept for reregistrationGrace.
+func (t *Tracker) Replace(snapshot metastore.Snapshot, confirmed boottime.Instant, outage metastore.Outage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if recovered {
-		t.log.Info("Store reachable again; replacing the view with its content.", "revision", snapshot.Revision, "entries", len(snapshot.Items))
+	if outage.Failed {
+		t.log.Info("Store reachable again; replacing the view with its content.", "revision", snapshot.Revision, "entries", len(snapshot.Items),
+			"awayAtLeastMs", outage.AtLeast.Milliseconds(), "awayAtMostMs", outage.AtMost.Milliseconds())
 	}
 	before := t.view.Load()
 	next := before.clone()
@@ -286,59 +291,20 @@
 	for _, item := range snapshot.Items {
 		t.apply(next, item)
 	}
-	if recovered {
-		t.keepExpired(before, next)
+	if outage.Happened() {
+		t.keepExpired(before, next, outage)
 	}
 	next.ConfirmedAt, next.Revision = confirmed, max(next.Revision, snapshot.Revision)
 	t.publish(next)
 }
 
-// keepExpired keeps the endpoints whose entries may have expired in an outage for
-// reregistrationGrace, except those whose address has been taken over. If only few entries
-// are missing, this process alone has lost the store, and their endpoints have left.
-func (t *Tracker) keepExpired(before, next *View) {
-	missing := missingEndpoints(before, next)
-	if len(missing) == 0 {
-		return
-	}
-	departed := float64(len(missing)) <= maxDepartedShare*float64(len(before.Endpoints))
-	t.log.Info("Endpoints without an entry after the store was unavailable.", "missing", len(missing), "known", len(before.Endpoints), "departed", departed)
-	if departed {
-		return
-	}
-	for _, endpoint := range missing {
-		kept := *endpoint
-		kept.Unregistered = true
-		next.Endpoints[kept.ID] = &kept
-		if _, known := t.missing[kept.ID]; !known {
-			t.missing[kept.ID] = t.now().Add(reregistrationGrace)
-		}
-	}
-}
-
-// missingEndpoints returns the endpoints of before that next lacks, except those whose
-// address has been taken over.
-func missingEndpoints(before, next *View) []*Endpoint {
-	taken := make(map[string]bool, len(next.Endpoints))
-	for _, endpoint := range next.Endpoints {
-		taken[endpoint.Address] = endpoint.Address != ""
-	}
-	var missing []*Endpoint
-	for id, endpoint := range before.Endpoints {
-		if _, registered := next.Endpoints[id]; !registered && !taken[endpoint.Address] {
-			missing = append(missing, endpoint)
-		}
-	}
-	return missing
-}
-
-// Apply implements metastore.Sink. After an outage, endpoints whose entries have expired are
+// Apply implements metastore.Sink. After an outage, endpoints whose entries may have expired are
 // kept for reregistrationGrace.
-func (t *Tracker) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, recovered bool) {
+func (t *Tracker) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, outage metastore.Outage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.view.Load()
-	if len(changes) == 0 && !recovered {
+	if len(changes) == 0 && !outage.Failed {
 		confirmedView := *before
 		confirmedView.ConfirmedAt, confirmedView.Revision = max(before.ConfirmedAt, confirmed), max(before.Revision, revision)
 		t.publish(&confirmedView)
@@ -348,9 +314,12 @@
 	for _, change := range changes {
 		t.apply(next, change)
 	}
-	if recovered {
-		t.log.Info("Store reachable again; applying the changes since.", "revision", revision, "changes", len(changes), "unconfirmedMs", ageMs(t.now(), before.ConfirmedAt))
-		t.keepExpired(before, next)
+	if outage.Failed {
+		t.log.Info("Store reachable again; applying the changes since.", "revision", revision, "changes", len(changes), "unconfirmedMs", ageMs(t.now(), before.ConfirmedAt),
+			"awayAtLeastMs", outage.AtLeast.Milliseconds(), "awayAtMostMs", outage.AtMost.Milliseconds())
+	}
+	if outage.Happened() {
+		t.keepExpired(before, next, outage)
 	}
 	next.ConfirmedAt, next.Revision = max(next.ConfirmedAt, confirmed), max(next.Revision, revision)
 	t.publish(next)
--- a/fleet/tracker_test.go
+++ b/fleet/tracker_test.go
@@ -46,16 +46,22 @@
 	return metastore.Change{Key: key, Value: []byte(value)}
 }
 
+// renewalInterval is the time between two renewals of an entry.
+const renewalInterval = 1200 * time.Millisecond
+
+// longOutage is an outage in which all entries expire that do so at all.
+var longOutage = metastore.Outage{Failed: true, AtLeast: 5500 * time.Millisecond, AtMost: 6 * time.Second}
+
 func newTracker() (*fleet.Tracker, *boottime.Instant) {
 	now := boottime.Instant(time.Hour)
-	return fleet.NewTracker(decoder{}, func() boottime.Instant { return now }, logging.Discard()), &now
+	return fleet.NewTracker(fleet.RenewalInterval(renewalInterval), decoder{}, func() boottime.Instant { return now }, logging.Discard()), &now
 }
 
 func TestEndpointsThatLapsedInAnOutageAreKeptForTwoSeconds(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1"), item("endpoint/b", "x:2")}}, *now, false)
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, true)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1"), item("endpoint/b", "x:2")}}, *now, metastore.Outage{})
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, shortOutage)
 	g.Expect(tracker.View().Endpoints).To(HaveLen(2))
 	*now = now.Add(1900 * time.Millisecond)
 	tracker.Expire()
@@ -68,9 +74,9 @@
 func TestAnEndpointThatComesBackInTimeStays(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
-	tracker.Replace(metastore.Snapshot{}, *now, true)
-	tracker.Apply([]metastore.Change{item("endpoint/a", "x:1")}, 5, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, metastore.Outage{})
+	tracker.Replace(metastore.Snapshot{}, *now, longOutage)
+	tracker.Apply([]metastore.Change{item("endpoint/a", "x:1")}, 5, *now, metastore.Outage{})
 	*now = now.Add(time.Minute)
 	tracker.Expire()
 	g.Expect(tracker.View().Endpoints).To(HaveLen(1))
@@ -79,23 +85,23 @@
 func TestARemovedEntryEndsAnEndpointAtOnceWhileTheStoreIsThere(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
-	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 5, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, metastore.Outage{})
+	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 5, *now, metastore.Outage{})
 	g.Expect(tracker.View().Endpoints).To(BeEmpty())
 }
 
 func TestAnOlderDeclarationNeverReplacesANewerOne(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Apply([]metastore.Change{item("deployment", "1234567")}, 5, *now, false)
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("deployment", "123")}}, *now, true)
+	tracker.Apply([]metastore.Change{item("deployment", "1234567")}, 5, *now, metastore.Outage{})
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("deployment", "123")}}, *now, longOutage)
 	g.Expect(tracker.View().Deployment.Revision).To(BeEquivalentTo(7))
 }
 
 func TestAnEntryThatCannotBeReadNamesNoEndpointAndTheOthersHold(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "bad"), item("endpoint/b", "x:2")}}, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "bad"), item("endpoint/b", "x:2")}}, *now, metastore.Outage{})
 	g.Expect(tracker.View().Endpoints).To(HaveLen(1))
 }
 
@@ -108,23 +114,23 @@
 	young := metastore.Change{Key: "endpoint/b", Value: []byte("10.0.0.1:80"), Created: 9, Revision: 9}
 	other := metastore.Change{Key: "endpoint/c", Value: []byte("10.0.0.2:80"), Created: 4, Revision: 4}
 	ids := func() []fleet.EndpointID { return slices.Sorted(maps.Keys(tracker.View().Endpoints)) }
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{old, other}}, *now, false)
-	tracker.Apply([]metastore.Change{young}, 9, *now, false)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{old, other}}, *now, metastore.Outage{})
+	tracker.Apply([]metastore.Change{young}, 9, *now, metastore.Outage{})
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
 	old.Revision = 10
-	tracker.Apply([]metastore.Change{old}, 10, *now, false)
+	tracker.Apply([]metastore.Change{old}, 10, *now, metastore.Outage{})
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{young, old, other}}, *now, true)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{young, old, other}}, *now, longOutage)
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
-	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 11, *now, false)
+	tracker.Apply([]metastore.Change{{Key: "endpoint/a", Deleted: true}}, 11, *now, metastore.Outage{})
 	g.Expect(ids()).To(Equal([]fleet.EndpointID{"b", "c"}))
 }
 
 func TestAnOutageKeepsNoEndpointWhoseAddressIsTaken(t *testing.T) {
 	g := NewWithT(t)
 	tracker, now := newTracker()
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, false)
-	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/b", "x:1")}}, *now, true)
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/a", "x:1")}}, *now, metastore.Outage{})
+	tracker.Replace(metastore.Snapshot{Items: []metastore.Change{item("endpoint/b", "x:1")}}, *now, longOutage)
 	g.Expect(tracker.View().Endpoints).To(HaveLen(1))
 	g.Expect(tracker.View().Endpoints).To(HaveKey(fleet.EndpointID("b")))
 }
--- a/gateway/declaration_age_test.go
+++ b/gateway/declaration_age_test.go
@@ -70,7 +70,7 @@
 func followUntil(t *testing.T, store *timedDeclarations, end time.Duration) *placement.Placer {
 	t.Helper()
 	store.from = time.Now()
-	tracker := fleet.NewTracker(&platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}, store.now, logging.Discard())
+	tracker := fleet.NewTracker(fleet.RenewalInterval(renewalInterval), &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}, store.now, logging.Discard())
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: versionSwitch, Random: rand.New(rand.NewPCG(1, 1))})
 	tracker.OnChange(func(view *fleet.View) { placer.SetView(store.now(), view) })
 	ctx, cancel := context.WithCancel(t.Context())
--- a/gateway/declaration_test.go
+++ b/gateway/declaration_test.go
@@ -73,7 +73,7 @@
 func followDeclarations(t *testing.T, store *declaringStore) *placement.Placer {
 	t.Helper()
 	store.from = time.Now()
-	tracker := fleet.NewTracker(&platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}, store.now, logging.Discard())
+	tracker := fleet.NewTracker(fleet.RenewalInterval(renewalInterval), &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}, store.now, logging.Discard())
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", VersionSwitch: versionSwitch, Random: rand.New(rand.NewPCG(1, 1))})
 	tracker.OnChange(func(view *fleet.View) { placer.SetView(store.now(), view) })
 	ctx, cancel := context.WithCancel(t.Context())
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -89,7 +89,7 @@
 	logger := log.New(x.log)
 	logger.SetLevel(log.DebugLevel)
 	decoder := &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}
-	tracker := fleet.NewTracker(decoder, boottime.Now, logger)
+	tracker := fleet.NewTracker(fleet.RenewalInterval(renewalInterval), decoder, boottime.Now, logger)
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", Random: rand.New(rand.NewPCG(1, 1))})
 	gw, err := gateway.New(gateway.Config{
 		Name: "gw1", CallerListen: x.callers, ReadyListen: freeAddress(t), MaxKeyAge: 2 * time.Second, MaxDeclarationAge: 1500 * time.Millisecond,
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -259,7 +259,7 @@
 	host := max(engineCount, f.config.engines) + index + 1
 	callers, ready := address(host, port), address(host, port+1)
 	regions := map[core.ZoneID]core.RegionID{"z": "r"}
-	tracker := fleet.NewTracker(&platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
+	tracker := fleet.NewTracker(fleet.RenewalInterval(renewalInterval), &platform.Decoder{Regions: regions}, boottime.Now, logging.Discard())
 	placer := placement.New(placement.Config{
 		Name: address(host, port+3), Zone: "z", Region: "r", ColdOver: f.config.coldOver, ColdSlack: f.config.coldSlack,
 		VersionSwitch: time.Minute, Contention: f.config.contention, Random: rand.New(rand.NewPCG(1, uint64(index))),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,8 +176,10 @@
 	watchBatchDelay    = 150 * time.Millisecond
 	maxWatchBatchDelay = 600 * time.Millisecond
 	// sweepInterval is how often idle connections, endpoints without an entry and slot
-	// leases are checked for expiry.
+	// leases are checked for expiry. The first endpoint to expire is removed expiryMargin
+	// after its time.
 	sweepInterval = 500 * time.Millisecond
+	expiryMargin  = 10 * time.Millisecond
 )
 
 // Run serves until ctx ends and then stops gracefully.
@@ -234,17 +236,17 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			g.pool.Sweep()
-			g.tracker.Expire()
-			g.scheduler.lender.expire()
+		wait := sweepInterval
+		if left, waiting := g.tracker.NextExpiry(); waiting {
+			wait = min(wait, left+expiryMargin)
 		}
+		if err := kernel.Sleep(ctx, wait); err != nil {
+			return err
+		}
+		g.pool.Sweep()
+		g.tracker.Expire()
+		g.scheduler.lender.expire()
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -140,6 +140,9 @@
 	return startOn(t, s), s
 }
 
+// renewalInterval is the time between two renewals of an endpoint's entry.
+const renewalInterval = 1200 * time.Millisecond
+
 // startOn runs a gateway that follows a store and returns its address.
 func startOn(t *testing.T, s metastore.Store) string {
 	t.Helper()
@@ -154,7 +157,7 @@
 	g := NewWithT(t)
 	callers, ready := freeAddress(t), freeAddress(t)
 	decoder := &platform.Decoder{Regions: map[core.ZoneID]core.RegionID{"z": "r"}}
-	tracker := fleet.NewTracker(decoder, boottime.Now, logging.Discard())
+	tracker := fleet.NewTracker(fleet.RenewalInterval(renewalInterval), decoder, boottime.Now, logging.Discard())
 	placer := placement.New(placement.Config{Zone: "z", Region: "r", Random: rand.New(rand.NewPCG(1, 1))})
 	gw, err := gateway.New(gateway.Config{
 		CallerListen: callers, ReadyListen: ready, MaxKeyAge: 300 * time.Millisecond, MaxDeclarationAge: 300 * time.Millisecond,
--- a/metastore/burst_test.go
+++ b/metastore/burst_test.go
@@ -100,11 +100,11 @@
 	endpoints int
 }
 
-func (s *burstSink) Replace(snapshot metastore.Snapshot, _ boottime.Instant, _ bool) {
+func (s *burstSink) Replace(snapshot metastore.Snapshot, _ boottime.Instant, _ metastore.Outage) {
 	s.add(snapshot.Items)
 }
 
-func (s *burstSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant, _ bool) {
+func (s *burstSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant, _ metastore.Outage) {
 	s.add(changes)
 }
 func (s *burstSink) Disconnected(error) {}
@@ -177,8 +177,8 @@
 	changes []metastore.Change
 }
 
-func (s *changeSink) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, recovered bool) {
-	s.sinkLog.Apply(changes, revision, confirmed, recovered)
+func (s *changeSink) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, outage metastore.Outage) {
+	s.sinkLog.Apply(changes, revision, confirmed, outage)
 	s.changes = append(s.changes, changes...)
 }
 
--- a/metastore/confirm_test.go
+++ b/metastore/confirm_test.go
@@ -58,11 +58,11 @@
 // confirmSink records when the content was confirmed last.
 type confirmSink struct{ confirmed atomic.Int64 }
 
-func (s *confirmSink) Replace(_ metastore.Snapshot, confirmed boottime.Instant, _ bool) {
+func (s *confirmSink) Replace(_ metastore.Snapshot, confirmed boottime.Instant, _ metastore.Outage) {
 	s.confirmed.Store(int64(confirmed))
 }
 
-func (s *confirmSink) Apply(_ []metastore.Change, _ uint64, confirmed boottime.Instant, _ bool) {
+func (s *confirmSink) Apply(_ []metastore.Change, _ uint64, confirmed boottime.Instant, _ metastore.Outage) {
 	s.confirmed.Store(int64(confirmed))
 }
 func (s *confirmSink) Disconnected(error) {}
--- a/metastore/follower.go
+++ b/metastore/follower.go
@@ -33,11 +33,9 @@
 // Sink receives the updates of a Follower. Its methods are not called concurrently.
 type Sink interface {
 	// Replace replaces the content with snapshot, which was complete at confirmed.
-	// recovered is set for the first update after an outage.
-	Replace(snapshot Snapshot, confirmed boottime.Instant, recovered bool)
-	// Apply applies changes. With them, the content was complete at confirmed. recovered is
-	// set for the first update after an outage.
-	Apply(changes []Change, revision uint64, confirmed boottime.Instant, recovered bool)
+	Replace(snapshot Snapshot, confirmed boottime.Instant, outage Outage)
+	// Apply applies changes. With them, the content was complete at confirmed.
+	Apply(changes []Change, revision uint64, confirmed boottime.Instant, outage Outage)
 	// Disconnected is called once per outage, with the error of the first failed call.
 	Disconnected(err error)
 }
@@ -72,13 +70,21 @@
 	complete bool
 	// content is what the sink has.
 	content content
-	// unavailable is set from the first failed call until one succeeds.
-	unavailable bool
+	// unavailable is set from the first failed call until one succeeds. failedAt is when that
+	// call failed, and lastFailed when the latest failed call was sent.
+	unavailable          bool
+	failedAt, lastFailed boottime.Instant
+	// servedAt is when the store last served this process, 0 if it has not yet.
+	servedAt boottime.Instant
+	// rewound is set from ErrRewound until the content has been read.
+	rewound bool
 	// answered is about the time up to which all changes have been read: when the previous
 	// watch was answered, or when the read was sent.
 	answered boottime.Instant
 	// slow is set if the last answer took slowTransfer or longer to arrive.
 	slow bool
+	// watchRefused is set while the store serves other calls, but not watches. Only Run uses it.
+	watchRefused bool
 }
 
 // Run follows the prefix until ctx ends.
@@ -87,18 +93,21 @@
 	go f.pauses.Run(ctx)
 	retry := minRetry
 	for ctx.Err() == nil {
+		sent := f.Now()
 		err := f.step(ctx)
 		switch {
 		case err == nil:
-			retry = minRetry
+			if !f.watchRefused {
+				retry = minRetry
+			}
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrCompacted), errors.Is(err, ErrLargeHistory):
-			f.setIncomplete()
+			f.setIncomplete(errors.Is(err, ErrRewound))
 			continue
 		}
-		f.disconnected(err)
+		f.disconnected(sent, err)
 		if err := kernel.Sleep(ctx, retry/2+rand.N(retry)); err != nil {
 			return err
 		}
@@ -116,7 +125,11 @@
 	case recovering:
 		// The store answers at once, so that the process recovers without delay.
 		f.pause = 0
-		return f.watch(ctx, after, 0)
+		err := f.watch(ctx, after, 0)
+		if f.watchRefused = errors.Is(err, ErrUnavailable); f.watchRefused {
+			return f.readWithoutWatch(ctx)
+		}
+		return err
 	case f.reads:
 		if err := kernel.Sleep(ctx, min(maxReadPause, f.Wait)); err != nil {
 			return err
@@ -135,21 +148,42 @@
 	return f.revision, f.complete, f.unavailable
 }
 
-func (f *Follower) setIncomplete() {
+func (f *Follower) setIncomplete(rewound bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.complete = false
+	f.rewound = f.rewound || rewound
 }
 
-func (f *Follower) disconnected(err error) {
+func (f *Follower) disconnected(sent boottime.Instant, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lastFailed = sent
 	if !f.unavailable {
-		f.unavailable = true
+		f.unavailable, f.failedAt = true, f.Now()
 		f.Sink.Disconnected(err)
 	}
 }
 
+// outage returns what may have happened at the store, unseen by this process, before an answer
+// whose content is as of an instant. The caller must hold mu.
+func (f *Follower) outage(at boottime.Instant) Outage {
+	outage := Outage{Failed: f.unavailable, Rewound: f.rewound}
+	if f.servedAt == 0 || !f.unavailable && f.pauses.RanSince(f.servedAt) {
+		return outage
+	}
+	outage.AtMost = max(at.Sub(f.servedAt), 0)
+	if f.unavailable {
+		outage.AtLeast = max(f.lastFailed.Sub(f.failedAt), 0)
+	}
+	return outage
+}
+
+// served records that the store served this process. The caller must hold mu.
+func (f *Follower) served(at boottime.Instant) {
+	f.servedAt, f.unavailable, f.rewound = max(f.servedAt, at), false, false
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	sent := f.Now()
 	snapshot, err := f.Store.Read(ctx, f.Prefix)
@@ -166,8 +200,9 @@
 
 // replace passes a snapshot to the sink. The caller must hold mu.
 func (f *Follower) replace(snapshot Snapshot, sent boottime.Instant) {
-	f.Sink.Replace(snapshot, sent, f.unavailable)
-	f.revision, f.complete, f.unavailable = snapshot.Revision, true, false
+	f.Sink.Replace(snapshot, sent, f.outage(f.Now()))
+	f.revision, f.complete = snapshot.Revision, true
+	f.served(sent)
 	f.content, f.reads = newContent(snapshot.Items), false
 }
 
@@ -186,19 +221,48 @@
 	madeAt := f.answered
 	f.answered, f.slow = sent, f.Now().Sub(sent) >= slowTransfer
 	if snapshot.Revision < f.revision { // the store continues from an older copy
+		f.rewound = true
 		setMadeAt(snapshot.Items, madeAt, known)
 		f.replace(snapshot, sent)
 		return nil
 	}
 	changes := f.content.changesTo(snapshot)
 	setMadeAt(changes, madeAt, known)
-	f.Sink.Apply(changes, snapshot.Revision, sent, false)
+	f.Sink.Apply(changes, snapshot.Revision, sent, f.outage(f.Now()))
 	f.revision = snapshot.Revision
+	f.served(sent)
 	f.content.apply(changes)
 	f.reads, f.pause = hasLargeValue(changes), 0
 	return nil
 }
 
+// readWithoutWatch brings the content up to date while the store refuses watches. It reads the
+// content only if anything has been written.
+func (f *Follower) readWithoutWatch(ctx context.Context) error {
+	sent := f.Now()
+	revision, err := f.Store.Revision(ctx)
+	if err != nil {
+		return err
+	}
+	if f.confirmAt(revision, sent) {
+		return nil
+	}
+	return f.readChanges(ctx)
+}
+
+// confirmAt confirms the content as of sent if the store is at the content's revision.
+func (f *Follower) confirmAt(revision uint64, sent boottime.Instant) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision != f.revision {
+		return false
+	}
+	f.Sink.Apply(nil, f.revision, sent, f.outage(sent))
+	f.answered, f.slow = max(f.answered, sent), false
+	f.served(sent)
+	return true
+}
+
 // outageEnd returns the time from which changes count as made that were read in one step
 // after an outage, or after the history was compacted. begun is when the store began to send
 // them. If the store was away for all processes, nothing was written in the outage. If it was
@@ -223,9 +287,10 @@
 	if err != nil {
 		return err
 	}
-	f.setTimes(changes, sent)
-	f.Sink.Apply(changes, revision, sent, f.unavailable)
-	f.revision, f.unavailable = revision, false
+	begun := f.setTimes(changes, sent)
+	f.Sink.Apply(changes, revision, sent, f.outage(begun))
+	f.revision, f.watchRefused = revision, false
+	f.served(f.answered)
 	f.content.apply(changes)
 	replaces := f.content.replacesLarge(changes, f.Now())
 	f.reads = replaces || supersedesLarge(changes)
@@ -253,22 +318,23 @@
 	if !f.complete || f.unavailable || revision > f.revision {
 		return fmt.Errorf("%w: store is at revision %d, content at %d", ErrNotConfirmed, revision, f.revision)
 	}
-	f.Sink.Apply(nil, f.revision, sent, false)
+	f.Sink.Apply(nil, f.revision, sent, Outage{})
+	f.servedAt = max(f.servedAt, sent)
 	return nil
 }
 
 // setTimes sets the time of the changes that a watch returned. A watch that was open has
 // been answered as soon as they were made; otherwise they were made after the previous
 // answer. If the process was suspended meanwhile, an answer may have waited for it, and
-// the time stays unknown. The caller must hold mu.
-func (f *Follower) setTimes(changes []Change, sent boottime.Instant) {
+// the time stays unknown. It returns when the answer began to arrive. The caller must hold mu.
+func (f *Follower) setTimes(changes []Change, sent boottime.Instant) (begun boottime.Instant) {
 	ranSinceSent, ranSinceAnswer := f.pauses.RanSince(sent), f.pauses.RanSince(f.answered)
 	now := f.Now()
 	var transfer time.Duration
 	if len(changes) > 0 {
 		transfer = changes[0].TransferTime
 	}
-	begun := now.Add(-transfer)
+	begun = now.Add(-transfer)
 	switch {
 	case f.unavailable:
 		setMadeAt(changes, f.outageEnd(begun), ranSinceAnswer)
@@ -282,6 +348,7 @@
 	if ranSinceSent {
 		f.answered = begun
 	}
+	return begun
 }
 
 // historyBegan records the time of changes that a watch has begun to return, and that are read
--- a/metastore/follower_test.go
+++ b/metastore/follower_test.go
@@ -48,16 +48,16 @@
 // sinkLog records the names of the calls that it receives.
 type sinkLog struct{ log []string }
 
-func (s *sinkLog) Replace(snapshot metastore.Snapshot, _ boottime.Instant, recovered bool) {
+func (s *sinkLog) Replace(snapshot metastore.Snapshot, _ boottime.Instant, outage metastore.Outage) {
 	call := "replace"
-	if recovered {
+	if outage.Failed {
 		call = "recovered"
 	}
 	s.log = append(s.log, call)
 }
-func (s *sinkLog) Apply(_ []metastore.Change, _ uint64, _ boottime.Instant, recovered bool) {
+func (s *sinkLog) Apply(_ []metastore.Change, _ uint64, _ boottime.Instant, outage metastore.Outage) {
 	call := "apply"
-	if recovered {
+	if outage.Failed {
 		call = "recovered"
 	}
 	s.log = append(s.log, call)
@@ -177,14 +177,14 @@
 	madeAt []boottime.Instant
 }
 
-func (s *timeSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant, _ bool) {
+func (s *timeSink) Apply(changes []metastore.Change, _ uint64, _ boottime.Instant, _ metastore.Outage) {
 	for _, change := range changes {
 		s.madeAt = append(s.madeAt, change.MadeAt)
 	}
 }
 
-func (s *timeSink) Replace(snapshot metastore.Snapshot, confirmed boottime.Instant, _ bool) {
-	s.Apply(snapshot.Items, 0, confirmed, false)
+func (s *timeSink) Replace(snapshot metastore.Snapshot, confirmed boottime.Instant, _ metastore.Outage) {
+	s.Apply(snapshot.Items, 0, confirmed, metastore.Outage{})
 }
 
 // followTimes follows a store whose calls each take a time and return one change, and
@@ -327,3 +327,96 @@
 		g.Expect(sink.madeAt[2]).NotTo(BeZero(), "the process ran all along in this watch")
 	})
 }
+
+// refusingStore refuses all watches for some time, and records when it was read and how long
+// the outages of its follower were.
+type refusingStore struct {
+	sinkLog
+	from, until time.Time
+	revision    uint64
+	watches     int
+	outages     []metastore.Outage
+	end         context.CancelFunc
+}
+
+func (s *refusingStore) now() boottime.Instant { return boottime.Instant(time.Since(s.from)) }
+
+func (s *refusingStore) Read(context.Context, string) (metastore.Snapshot, error) {
+	return metastore.Snapshot{Revision: s.revision}, nil
+}
+
+func (s *refusingStore) Revision(context.Context) (uint64, error) { return s.revision, nil }
+
+func (s *refusingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]metastore.Change, uint64, error) {
+	s.watches++
+	switch {
+	case time.Now().After(s.until):
+		s.end()
+		return nil, 0, context.Canceled
+	case s.now() > boottime.Instant(time.Second):
+		return nil, 0, metastore.ErrUnavailable
+	}
+	return nil, after, kernel.Sleep(ctx, wait)
+}
+
+func (s *refusingStore) Apply(changes []metastore.Change, revision uint64, confirmed boottime.Instant, outage metastore.Outage) {
+	s.sinkLog.Apply(changes, revision, confirmed, outage)
+	s.outages = append(s.outages, outage)
+}
+
+// The content is confirmed by reads within 1.5 s, without a watch for each.
+func TestContentIsConfirmedWhileTheStoreRefusesWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		store := &refusingStore{from: time.Now(), until: time.Now().Add(21 * time.Second), revision: 5, end: cancel}
+		follower := metastore.Follower{Store: store, Sink: store, Now: store.now, Wait: 500 * time.Millisecond}
+		g.Expect(follower.Run(ctx)).To(MatchError(context.Canceled))
+		g.Expect(store.outages).NotTo(BeEmpty())
+		for _, outage := range store.outages {
+			g.Expect(outage.AtMost).To(BeNumerically("<=", 1500*time.Millisecond))
+		}
+		g.Expect(store.watches).To(BeNumerically("<", 20*5))
+	})
+}
+
+// A watch that is cut says nothing of the time for which the store was away; that it serves the
+// process again does.
+func TestAnOutageIsBoundedByTheAnswersAroundIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		from := time.Now()
+		sleepThen := func(wait time.Duration, step func() ([]metastore.Change, uint64, error)) func() ([]metastore.Change, uint64, error) {
+			return func() ([]metastore.Change, uint64, error) { time.Sleep(wait); return step() }
+		}
+		lost := errors.New("connection lost")
+		store := &scriptedStore{end: cancel, steps: []func() ([]metastore.Change, uint64, error){
+			answer(3), sleepThen(time.Second, answer(3)),
+			sleepThen(500*time.Millisecond, failure(lost)), answer(3), // cut once
+			sleepThen(500*time.Millisecond, failure(lost)), sleepThen(4*time.Second, failure(lost)), sleepThen(time.Second, failure(lost)), answer(4), // away for seconds
+		}}
+		sink := &outageSink{}
+		follower := metastore.Follower{Store: store, Sink: sink, Now: func() boottime.Instant { return boottime.Instant(time.Since(from)) }}
+		g.Expect(follower.Run(ctx)).To(MatchError(context.Canceled))
+		g.Expect(sink.outages).To(HaveLen(3))
+		g.Expect(sink.outages[0]).To(Equal(metastore.Outage{}))
+		g.Expect(sink.outages[1].Failed).To(BeTrue())
+		g.Expect(sink.outages[1].AtLeast).To(BeZero())
+		g.Expect(sink.outages[1].AtMost).To(BeNumerically("~", 600*time.Millisecond, 50*time.Millisecond))
+		g.Expect(sink.outages[2].AtLeast).To(BeNumerically("~", 4300*time.Millisecond, 150*time.Millisecond))
+		g.Expect(sink.outages[2].AtMost).To(BeNumerically("~", 6*time.Second, 400*time.Millisecond))
+	})
+}
+
+// outageSink records the outages before each change.
+type outageSink struct {
+	sinkLog
+	outages []metastore.Outage
+}
+
+func (s *outageSink) Apply(_ []metastore.Change, _ uint64, _ boottime.Instant, outage metastore.Outage) {
+	s.outages = append(s.outages, outage)
+}
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
@@ -16,6 +17,9 @@
 	// ErrCompacted means that the history after the revision was compacted. The caller
 	// must read the complete prefix again.
 	ErrCompacted = errors.New("metastore: history after the revision compacted")
+	// ErrRewound means that the store continues from an older copy, so that revisions no longer
+	// identify the same changes. It wraps ErrCompacted.
+	ErrRewound = fmt.Errorf("%w: the store continues from an older copy", ErrCompacted)
 	// ErrLargeHistory means that the history after the revision is larger than the content.
 	// The caller must read the complete prefix again.
 	ErrLargeHistory = errors.New("metastore: history after the revision larger than the content")
@@ -50,6 +54,23 @@
 	Revision uint64
 }
 
+// Outage describes what may have happened at the store, unseen by this process, before an
+// update. It is the zero value if the process has followed the store without interruption.
+type Outage struct {
+	// Failed is set if a call of this process has failed since the previous update.
+	Failed bool
+	// AtLeast is how long the store was away if it was away for all processes and not for this
+	// one only: from the first failed call to the last one.
+	AtLeast time.Duration
+	// AtMost bounds the time for which the store was away: the time since its previous answer.
+	AtMost time.Duration
+	// Rewound is set if the store has continued from an older copy.
+	Rewound bool
+}
+
+// Happened reports whether the process has missed anything.
+func (o Outage) Happened() bool { return o != Outage{} }
+
 // Store is the part of a metadata store that a Follower uses.
 type Store interface {
 	// Read returns all keys under prefix.
