catalogue: an empty key belongs to no team

A list of keys with an empty string in it admitted callers that send no key, as members of that team.

Cause: a call without a key has the key "", which was looked up like any other.

--- a/catalogue/deployment.go
+++ b/catalogue/deployment.go
@@ -197,5 +197,11 @@
 	return nil
 }
 
-// Team returns the team that a key belongs to, or nil.
-func (d *Deployment) Team(key string) *KeyedTeam { return d.byKey[key] }
+// Team returns the team that a key belongs to, or nil. An empty key belongs to none: it is that
+// of a caller without a key.
+func (d *Deployment) Team(key string) *KeyedTeam {
+	if key == "" {
+		return nil
+	}
+	return d.byKey[key]
+}
