quarantine: after a kill of all processes, a part is judged by the first engine that ends

A part that ends engines was kept away; all gateways and agents were killed at one moment; then four or five calls with it ended an engine each, with the sound calls there, before it was kept away again.

Cause: what is known of parts lives in these processes alone, and one that starts takes a part without a known crash for sound, as if it had been answered.

Fix: gateways of a deployment that ran before know that they may have forgotten crashes, until others tell them for how long they know of all of them. Until then an engine that ends under a part without a recent answer is held against that part: blocked if it is the only such one in the calls that were cut, else suspended. Such calls are not repeated. Weighed and not built: an item in the store, which may be away at that moment, and needs the careful start all the same.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -147,6 +147,8 @@
 	declaredChanges int
 	// promptParts are the parts of prompts under which engines ended.
 	promptParts *quarantine.Tracker
+	// partsMemory is the memory of the gateways that send records of prompt parts.
+	partsMemory quarantine.ToldMemory
 	pauses      *boottime.PauseDetector
 	// boot is the start time of the engine as of the last successful poll, 0 before it.
 	boot int64
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -154,7 +154,7 @@
 			return err
 		}
 		f.agent.learnDeclarations(message.GetDeclarations())
-		f.agent.learnParts(message.GetPromptParts(), message.GetEndedParts())
+		f.agent.learnParts(message.GetPromptParts(), message.GetEndedParts(), time.Duration(message.GetMemoryMs())*time.Millisecond)
 		if fleet := message.GetFleet(); fleet != nil {
 			f.agent.updater.offerDeclaration(fleet)
 		}
@@ -282,6 +282,7 @@
 		status.RegionGateways, f.sentRegions = a.encodeRegionGateways(), a.regionsVersion
 	}
 	status.Declarations = a.declarationAges()
+	status.MemoryMs = uint32(a.partsMemory.At(boottime.Now()).Milliseconds())
 	if f.echo != 0 {
 		status.EchoMs, status.EchoHeldMs = f.echo, uint32(max(boottime.Now().Sub(f.echoAt).Milliseconds(), 0))
 	}
--- a/agent/prompt_parts.go
+++ b/agent/prompt_parts.go
@@ -14,14 +14,17 @@
 const recordRepeat = 3 * time.Second
 
 // learnParts applies what a gateway knows of prompt parts and passes records that are new on to
-// all gateways.
-func (a *Agent) learnParts(records []*peerpb.PromptPartRecord, ended []*peerpb.EndedParts) {
-	if len(records)+len(ended) == 0 || !a.pauses.RanFor(settleTime) {
+// all gateways. memory is 0 if the gateway does not send its records to this agent.
+func (a *Agent) learnParts(records []*peerpb.PromptPartRecord, ended []*peerpb.EndedParts, memory time.Duration) {
+	if len(records)+len(ended) == 0 && memory == 0 || !a.pauses.RanFor(settleTime) {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := boottime.Now()
+	if memory > 0 {
+		a.partsMemory.Learn(now, memory)
+	}
 	changed := a.promptParts.LearnCuts(now, peers.DecodeCuts(ended))
 	if a.promptParts.Learn(now, peers.DecodeRecords(records)) || changed {
 		a.publish(a.status)
--- a/cmd/zsgateway/providers.go
+++ b/cmd/zsgateway/providers.go
@@ -67,7 +67,7 @@
 	return gateway.Config{
 		Name: s.VM, CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, AgentPort: s.FirstPort, Regions: s.Regions,
 		MaxKeyAge: s.Bounds.KeyRevocation - keyMargin, MaxDeclarationAge: s.Bounds.ConfigInForce,
-		Contention: s.Contention,
+		Contention: s.Contention, Restarted: !s.FirstStart,
 		RetryRatio: s.Bounds.RetryRatio * retryShare, RetrySlack: s.Bounds.RetrySlack,
 		MetricsListen: o.MetricsListen(s),
 		StopTimeout:   s.Bounds.StopGrace - stopMargin, WatchWait: watchWait(s),
--- a/gateway/agent_messages.go
+++ b/gateway/agent_messages.go
@@ -74,6 +74,7 @@
 	if news.cuts {
 		message.EndedParts, sent.lastCut = peers.EncodeCuts(parts.cuts), parts.lastCut
 	}
+	message.MemoryMs = uint32(parts.memory.Milliseconds())
 	message.LeaseNumber, sent.LeaseNumber = link.lease, link.lease
 	message.StartsSent = uint32(a.scheduler.startsSent(link.address))
 	message.Declarations = a.scheduler.declarationAges(link.fleet.GetModel())
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -347,7 +347,7 @@
 		}
 		if a.pauses.RanFor(settleTime) {
 			a.scheduler.learnDeclarations(status.GetDeclarations())
-			a.gateway.quarantine.learn(peers.DecodeRecords(status.GetPromptParts()))
+			a.gateway.quarantine.learn(peers.DecodeRecords(status.GetPromptParts()), time.Duration(status.GetMemoryMs())*time.Millisecond)
 		}
 		a.scheduler.updateEngine(status)
 		a.applyStatus(link, status)
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -110,6 +110,31 @@
 	g.Expect(begins).To(BeNumerically(">=", calmBegins/2), "sound calls begun at the first attempt")
 }
 
+// BUDGET: after all processes had been killed, the part that crashes engines was not known any
+// more, and as many engines crashed as at first. All harmful calls here come after five crashes.
+// Of the three that may reach engines, the last is left for the trial that is due 20 s later.
+func TestOnePartOfPromptsCrashesHardlyAnyEngineAfterARestartOfAllProcesses(t *testing.T) {
+	g := NewWithT(t)
+	config := usualFleet
+	config.restarted = true
+	f := startFleetOf(t, config)
+	c := newCallers(t, f)
+	c.send(warmUp+contactTime, false)
+	const harmfulCalls, interval = 12, 500 * time.Millisecond
+	start := time.Now()
+	for i := range harmfulCalls {
+		c.done.Go(func() { c.call(f.gateways[i%len(f.gateways)], true) })
+		c.send(interval, false)
+	}
+	end := time.Now()
+	share := answeredShare(g, c, start, end)
+	seen := f.record.happened()
+	t.Logf("crashes %d, harmful calls that reached engines %d, sound calls answered %.3f", len(seen.crashes), len(seen.harmful), share)
+	g.Expect(seen.harmful).NotTo(BeEmpty())
+	g.Expect(len(seen.harmful)).To(BeNumerically("<=", maxHarmful-1), "harmful calls that reached engines")
+	g.Expect(share).To(BeNumerically(">=", 0.95), "sound calls answered")
+}
+
 // counter returns the value of a counter of this process.
 func counter(name string) int64 { return expvar.Get(name).(*expvar.Int).Value() }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -150,6 +150,8 @@
 	// coldOver and coldSlack bound the calls to cold engines.
 	coldOver, coldSlack float64
 	contention          bool
+	// restarted is set if all processes have just been killed and started again.
+	restarted bool
 }
 
 var usualFleet = fleetConfig{declaration: engineDeclaration, engines: engineCount, gateways: gatewayCount}
@@ -267,7 +269,7 @@
 	gw, err := gateway.New(gateway.Config{
 		Name: core.VMID("gateway-" + strconv.Itoa(index)), CallerListen: callers, ReadyListen: ready, AgentPort: port + 1, Regions: regions,
 		MaxKeyAge: 2 * time.Second, MaxDeclarationAge: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 10 * float64(f.config.gateways), Gateways: f.config.gateways,
-		StopTimeout: 5 * time.Second, WatchWait: 500 * time.Millisecond, MetricsListen: address(host, port+2),
+		Restarted: f.config.restarted, StopTimeout: 5 * time.Second, WatchWait: 500 * time.Millisecond, MetricsListen: address(host, port+2),
 		Relay: gateway.RelayConfig{
 			Listen: address(host, port+3), Zone: "z", Region: "r",
 			MemoryBytes: 1 << 20, UploadRate: 1 << 20, RegionRate: transfer.RecommendedRegionRate, Version: platform.VersionID,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,9 @@
 	// Gateways is the number of gateways of the deployment as far as it is known at the
 	// start, 0 if only agents tell it.
 	Gateways int
+	// Restarted is set if the deployment ran before this process started, so that engines may
+	// have ended unknown to it.
+	Restarted bool
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// MetricsListen is the address that serves counters and histograms.
@@ -148,6 +151,9 @@
 	g.budgets.setGateways(config.Gateways)
 	placer.UpdateGateways(config.Gateways)
 	g.quarantine = newQuarantineGuard(now, logger)
+	if config.Restarted {
+		g.quarantine.tracker.Forget(now())
+	}
 	g.quarantine.changed, g.quarantine.mayTry = g.agents.wakeAll, g.agents.mayTry
 	g.scheduler.lender = newLender(config.Relay, pool, g.scheduler, logger)
 	g.scheduler.lender.ranked = config.Contention
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -383,6 +383,7 @@
 	now := q.now()
 	n.records, n.version = q.tracker.Records(now), q.tracker.Version()
 	n.cuts, n.lastCut = q.tracker.Cuts(now, lastCut)
+	n.memory = q.tracker.Memory(now)
 	return n
 }
 
@@ -392,16 +393,19 @@
 	version uint64
 	cuts    []quarantine.Cut
 	lastCut uint64
+	memory  time.Duration
 }
 
-// learn applies the records of another process.
-func (q *quarantineGuard) learn(records []quarantine.Record) {
-	if len(records) == 0 {
+// learn applies the records of another process, and for how long the processes whose records it
+// has know of all crashes.
+func (q *quarantineGuard) learn(records []quarantine.Record, memory time.Duration) {
+	if len(records) == 0 && memory == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
+	q.tracker.LearnMemory(now, memory)
 	if q.tracker.Learn(now, records) {
 		q.publish(now)
 	}
--- a/peers/prompt_parts.go
+++ b/peers/prompt_parts.go
@@ -70,7 +70,7 @@
 }
 
 func encodeCrash(crash quarantine.CrashAge) *peerpb.EngineEnd {
-	return &peerpb.EngineEnd{Endpoint: string(crash.Endpoint), Boot: crash.Boot, AgeMs: milliseconds(crash.Age), Cleared: crash.Cleared}
+	return &peerpb.EngineEnd{Endpoint: string(crash.Endpoint), Boot: crash.Boot, AgeMs: milliseconds(crash.Age), Cleared: crash.Cleared, Doubt: uint32(crash.Doubt)}
 }
 
 func decodeCrash(end *peerpb.EngineEnd) quarantine.CrashAge {
@@ -78,6 +78,7 @@
 		Crash:   quarantine.Crash{Endpoint: fleet.EndpointID(end.GetEndpoint()), Boot: end.GetBoot()},
 		Age:     time.Duration(end.GetAgeMs()) * time.Millisecond,
 		Cleared: end.GetCleared(),
+		Doubt:   quarantine.Doubt(min(end.GetDoubt(), uint32(quarantine.DoubtAlone))),
 	}
 }
 
--- a/quarantine/cut.go
+++ b/quarantine/cut.go
@@ -37,6 +37,7 @@
 	crash   Crash
 	at      boottime.Instant
 	cleared bool
+	doubt   Doubt
 }
 
 // addReport keeps a crash of a part that this process saw for senders of cuts.
@@ -47,7 +48,7 @@
 		old++
 	}
 	t.reports = append(slices.Delete(t.reports, 0, old), report{
-		number: t.reported, madeAt: now, key: key, crash: seen.Crash, at: seen.at, cleared: seen.cleared,
+		number: t.reported, madeAt: now, key: key, crash: seen.Crash, at: seen.at, cleared: seen.cleared, doubt: seen.doubt,
 	})
 }
 
@@ -58,6 +59,7 @@
 		service core.ServiceID
 		crash   Crash
 		cleared bool
+		doubt   Doubt
 	}
 	groups := map[group]int{}
 	last, parts := after, 0
@@ -68,12 +70,12 @@
 		if parts++; parts > maxCutParts {
 			break
 		}
-		key := group{r.key.service, r.crash, r.cleared}
+		key := group{r.key.service, r.crash, r.cleared, r.doubt}
 		i, known := groups[key]
 		if !known {
 			i = len(cuts)
 			groups[key] = i
-			cuts = append(cuts, Cut{Service: r.key.service, CrashAge: CrashAge{Crash: r.crash, Age: now.Sub(r.at), Cleared: r.cleared}})
+			cuts = append(cuts, Cut{Service: r.key.service, CrashAge: CrashAge{Crash: r.crash, Age: now.Sub(r.at), Cleared: r.cleared, Doubt: r.doubt}})
 		}
 		cuts[i].Parts, last = append(cuts[i].Parts, r.key.part), r.number
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -111,7 +111,10 @@
 	answered *simplelru.LRU[subject, boottime.Instant]
 	// crashes are the last crashes of each service, ordered by time.
 	crashes map[core.ServiceID][]crashTime
-	version uint64
+	// forgotten is set if crashes before knowsSince are not known.
+	forgotten  bool
+	knowsSince boottime.Instant
+	version    uint64
 	// reports are what this process saw lately, in the order of their numbers. reported is the
 	// number of the last one.
 	reports  []report
@@ -150,10 +153,12 @@
 func (t *Tracker) Crashed(now boottime.Instant, service core.ServiceID, crash Crash, calls [][]core.PromptPart) {
 	seen := crashTime{Crash: crash, at: now}
 	t.addServiceCrash(now, service, seen)
+	doubts := t.doubts(now, service, calls)
 	for _, parts := range calls {
 		for _, part := range parts {
 			key := subject{service, part}
 			s := t.suspect(now, key)
+			seen.doubt = doubts[part]
 			if s.addCrash(seen, t.config.Spacing) {
 				s.changed(now, true)
 				t.addReport(now, key, seen)
@@ -246,12 +251,17 @@
 }
 
 // blocks reports whether a part with some evidence is blocked.
-func (t *Tracker) blocks(e evidence) bool { return e.moments >= t.config.Threshold || e.failedTrial }
+func (t *Tracker) blocks(e evidence) bool {
+	return e.moments >= t.config.Threshold || e.failedTrial || e.alone
+}
 
 // MayRepeat reports whether a call may be sent to another engine after the first one
 // crashed. It may if its shared parts are known to be sound, or if the crash appears to be
-// a single one.
+// a single one and no crashes may have been forgotten.
 func (t *Tracker) MayRepeat(now boottime.Instant, service core.ServiceID, parts []core.PromptPart) bool {
+	if slices.ContainsFunc(parts, func(part core.PromptPart) bool { return t.unproven(now, subject{service, part}) }) {
+		return false
+	}
 	return t.recentCrashes(now, service) <= 1 || !slices.ContainsFunc(parts, func(part core.PromptPart) bool {
 		return !t.sound(now, subject{service, part})
 	})
@@ -287,7 +297,7 @@
 
 // blockedTrialDue returns when the next trial of a blocked part is due.
 func (t *Tracker) blockedTrialDue(service core.ServiceID, s *suspect) boottime.Instant {
-	if t.evidence(service, s).moments < t.config.Threshold {
+	if e := t.evidence(service, s); e.moments < t.config.Threshold && !e.alone {
 		return s.trialDue(1) // blocked by the trial of a suspended part
 	}
 	return s.trialDue(0)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -40,6 +40,7 @@
 	Age time.Duration
 	// Cleared is set if a call with the part was answered completely after the crash.
 	Cleared bool
+	Doubt   Doubt
 }
 
 // ranking is a part with what orders it among others.
@@ -119,7 +120,7 @@
 func (s *suspect) record(now boottime.Instant, key subject) Record {
 	crashes := make([]CrashAge, len(s.crashes))
 	for i, known := range s.crashes {
-		crashes[i] = CrashAge{Crash: known.Crash, Age: now.Sub(known.at), Cleared: known.cleared}
+		crashes[i] = CrashAge{Crash: known.Crash, Age: now.Sub(known.at), Cleared: known.cleared, Doubt: known.doubt}
 	}
 	record := Record{Service: key.service, Part: key.part, Crashes: crashes, Trials: s.trials}
 	if s.trials > 0 {
@@ -152,7 +153,7 @@
 			continue
 		}
 		valid = true
-		seen := crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), learned: true, cleared: crash.Cleared}
+		seen := crashTime{Crash: crash.Crash, at: now.Add(-clampAge(crash.Age)), learned: true, cleared: crash.Cleared, doubt: t.learnedDoubt(now, key, crash.Doubt)}
 		if s.addCrash(seen, t.config.Spacing) {
 			changed = true
 			t.addServiceCrash(now, record.Service, seen)
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -74,8 +74,17 @@
 	completion bool
 	// anyTries tells that each gateway may try a blocked part.
 	anyTries bool
+	// killedAt is when all gateways and hubs are killed and start again, 0 for never. Until
+	// restartTime later no calls come. Unless unaware is set, they know that they have forgotten.
+	killedAt time.Duration
+	unaware  bool
+	// later are the calls with the first harmful part from afterFifth after the restart on.
+	later harm
 }
 
+// restartTime is how long all processes take to serve again after they have been killed.
+const restartTime = time.Second
+
 // harm is a part that is requested from a time on, in a share of all calls, and crashes
 // engines from another time on.
 type harm struct {
@@ -177,6 +186,7 @@
 func simulate(seed uint64, s scenario) report {
 	start := time.Unix(0, 0)
 	sim := &simulation{scenario: s, clock: virtualtime.New(start), start: start, random: rand.New(rand.NewPCG(seed, 1)), firstBad: time.Duration(s.seconds) * time.Second}
+	sim.harms = slices.Clone(s.harms)
 	sim.report.crashes, sim.report.late = make([]int, len(s.harms)), make([]int, len(s.harms))
 	sim.fifthAt = make([]time.Duration, len(s.harms))
 	for i := range s.gateways {
@@ -209,6 +219,9 @@
 		sim.firstBad = min(sim.firstBad, o.at)
 		sim.schedule(o)
 	}
+	if s.killedAt > 0 {
+		sim.clock.After(s.killedAt, sim.killAll)
+	}
 	sim.arrivals(-1, callsPerSecond)
 	sim.clock.Every(100*time.Millisecond, sim.checkRoutes)
 	sim.clock.RunUntil(start.Add(time.Duration(s.seconds) * time.Second))
@@ -216,6 +229,47 @@
 	return sim.report
 }
 
+// killAll has all processes start again, which cuts the calls.
+func (s *simulation) killAll() {
+	for _, e := range s.engines {
+		for _, c := range e.calls {
+			c.running = false
+		}
+		e.calls = nil
+	}
+	if len(s.harms) > 0 {
+		s.harms[0].clump, s.harms[0].interval, s.harms[0].share = 0, 0, 0
+		s.clock.After(restartTime+afterFifth, func() {
+			s.harms[0].clump, s.harms[0].interval = s.later.clump, s.later.interval
+			if s.later.clump > 0 {
+				s.clumps(0)
+				return
+			}
+			s.arrivals(0, callsPerSecond*s.later.share)
+		})
+	}
+	for _, process := range slices.Concat(s.gateway, s.hub) {
+		*process = gateway{index: process.index, tracker: quarantine.New(s.config), trials: map[core.PromptPart]bool{}, blockedSince: map[core.PromptPart]time.Duration{}, sentAt: s.now()}
+		if !s.unaware {
+			process.tracker.Forget(s.instant(process))
+		}
+	}
+}
+
+// restarting reports whether all processes have been killed and do not serve yet.
+func (s *simulation) restarting() bool {
+	return s.killedAt > 0 && s.now() >= s.killedAt && s.now() < s.killedAt+restartTime
+}
+
+// judged reports whether a harmful call that is sent now counts as late: contact is counted from
+// the fifth crash, and from the restart.
+func (s *simulation) judged(harm int) bool {
+	if s.killedAt > 0 && s.now() >= s.killedAt && s.now() < s.killedAt+restartTime+afterFifth {
+		return false
+	}
+	return s.fifthAt[harm] > 0 && s.now() > s.fifthAt[harm]+afterFifth
+}
+
 func (s *simulation) now() time.Duration { return s.clock.Now().Sub(s.start) }
 
 // instant is the present time on a gateway's own clock.
@@ -230,7 +284,9 @@
 // arrivals issues calls at random times; harm is the harmful part, -1 for none.
 func (s *simulation) arrivals(harm int, perSecond float64) {
 	s.clock.After(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
-		s.arrive(harm)
+		if !s.restarting() {
+			s.arrive(harm)
+		}
 		s.arrivals(harm, perSecond)
 	})
 }
@@ -238,7 +294,9 @@
 // clumps issues several calls with a harmful part at one moment, again and again.
 func (s *simulation) clumps(harm int) {
 	for range s.harms[harm].clump {
-		s.arrive(harm)
+		if !s.restarting() {
+			s.arrive(harm)
+		}
 	}
 	s.clock.After(s.harms[harm].interval, func() { s.clumps(harm) })
 }
@@ -301,7 +359,7 @@
 	c.heldAt = 0
 	c.attempts++
 	c.running, c.begun = true, false
-	if c.harm >= 0 && s.fifthAt[c.harm] > 0 && s.now() > s.fifthAt[c.harm]+afterFifth {
+	if c.harm >= 0 && s.judged(c.harm) {
 		s.report.late[c.harm]++
 	}
 	e.calls = append(e.calls, c)
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -36,6 +36,7 @@
 	learned bool
 	// cleared is set if a call with the part was answered completely after the crash.
 	cleared bool
+	doubt   Doubt
 }
 
 // earliest returns the earliest time at which the crash may have been.
@@ -71,8 +72,9 @@
 func (s *suspect) addCrash(seen crashTime, spacing time.Duration) bool {
 	if i := s.find(seen.Crash); i >= 0 {
 		known := &s.crashes[i]
-		changed := seen.cleared && !known.cleared
+		changed := seen.cleared && !known.cleared || seen.doubt > known.doubt
 		known.cleared = known.cleared || seen.cleared
+		known.doubt = max(known.doubt, seen.doubt)
 		known.learned = known.learned && seen.learned
 		if seen.at < known.at {
 			known.at = seen.at
@@ -138,6 +140,8 @@
 type moment struct {
 	first, last boottime.Instant
 	engines     int
+	// doubt is the heaviest of the crashes'.
+	doubt Doubt
 }
 
 // moments returns the separate crashes since the last answer: those that are at least
@@ -151,10 +155,11 @@
 			case current.engines > 0 && known.at.Sub(current.first) < spacing:
 				current.engines++
 				current.last = known.at
+				current.doubt = max(current.doubt, known.doubt)
 			case current.engines > 0 && !yield(current):
 				return
 			default:
-				current = moment{first: known.at, last: known.at, engines: 1}
+				current = moment{first: known.at, last: known.at, engines: 1, doubt: known.doubt}
 			}
 		}
 		if current.engines > 0 {
--- a/quarantine/suspension.go
+++ b/quarantine/suspension.go
@@ -42,8 +42,10 @@
 type evidence struct {
 	// moments is the number of separate crashes.
 	moments int
-	// clump is set if several engines ended at one of them.
+	// clump is set if several engines ended at one of them, or one under an unproven part.
 	clump bool
+	// alone is set if an engine ended under the part alone that no answer had shown to be sound.
+	alone bool
 	// failedTrial is set if an engine ended after the last trial of a part that had been
 	// suspended.
 	failedTrial bool
@@ -59,7 +61,8 @@
 		if t.crashedWithout(service, s, m) >= m.engines {
 			continue
 		}
-		e.clump = e.clump || m.engines >= minClump
+		e.alone = e.alone || m.doubt == DoubtAlone
+		e.clump = e.clump || m.engines >= minClump || m.doubt != DoubtNone
 		e.failedTrial = e.failedTrial || e.clump && trials > 0 && m.last > s.triedAt
 	}
 	return e
