gateway: a trial of a prompt part that no engine has run is sent again

What callers saw: all engines end at one moment, under calls that share a part, and are back after 2 s.

Cause: a trial of a suspended part was recorded, and told to all processes, as its call was placed. The first trial is due 1 s after the ends, before the engines are back; its connection is refused, nothing is sent, and the next trial is due 5 s after it.

Change: a gateway keeps a trial whose call was not sent, was withdrawn or was refused by the engine (quarantineGuard.notRun), and the same call or the next one with the part is sent in its place, for at most 4 s and as long as no engine has ended and no other process has tried since (Tracker.MayReplaceTrial). No message changes: to others, the trial is the one they know. Why this is safe: there is still one such call in the fleet at a time, and others send the next trial 5 s after the first at the earliest. A call that was sent and lost is an outcome, as before. The same holds for trials of blocked parts, which were lost for 20 s and more.

New: TestATrialThatNoEngineHasRunIsReplaced (the decision without network).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -110,6 +110,7 @@
 	}
 	if notSent {
 		s.rejectedSends++
+		s.gateway.quarantine.notRun(s)
 	} else {
 		s.sends++
 	}
@@ -139,6 +140,7 @@
 		s.gateway.log.Warn("Reading an endpoint's rejection failed; the call counts as rejected.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status, "err", err)
 	}
 	s.rejectedSends++
+	s.gateway.quarantine.notRun(s)
 	endpointRejections.Add(strconv.Itoa(answer.Status), 1)
 	s.gateway.scheduler.ended(ticket, outcome)
 	s.gateway.log.Info("Endpoint rejected the call.", "request", s.admitted.call.ID, "endpoint", decision.Endpoint.ID, "status", answer.Status,
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -73,6 +73,8 @@
 	states map[servicePart]partState
 	// trials are the calls that are sent as trials, by the part.
 	trials map[servicePart]*session
+	// unused are the times of trials whose calls no engine has run.
+	unused map[servicePart]boottime.Instant
 	// released is closed at the next change of the tracker.
 	released chan struct{}
 	// version and reported are those of the tracker's records and cuts at the last call of
@@ -113,7 +115,7 @@
 	return &quarantineGuard{
 		now: now, log: logger.WithPrefix("quarantine"), changed: func() {}, mayTry: func(core.PromptPart, time.Duration) bool { return false },
 		tracker: quarantine.New(quarantine.Config{}), sessions: map[*session]struct{}{}, losses: map[quarantine.Crash]*loss{},
-		states: map[servicePart]partState{}, trials: map[servicePart]*session{}, released: make(chan struct{}),
+		states: map[servicePart]partState{}, trials: map[servicePart]*session{}, unused: map[servicePart]boottime.Instant{}, released: make(chan struct{}),
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -174,6 +174,8 @@
 	begun     atomic.Bool
 	trial     bool
 	trialPart core.PromptPart
+	// triedAt is when the trial was recorded for which the call was sent last.
+	triedAt boottime.Instant
 	// held is how long the call has waited while a part of its prompt was suspended.
 	held time.Duration
 	// provedSound is set once the current attempt has shown that the call does not end its
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -27,8 +27,9 @@
 	if q.trials[key] != nil {
 		return q.trials[key] == s
 	}
-	dueFor, due := q.tracker.TrialDue(q.now(), s.admitted.service, part)
-	if !due || !q.mayTry(part, dueFor) {
+	now := q.now()
+	dueFor, due := q.tracker.TrialDue(now, s.admitted.service, part)
+	if !q.hasUnused(now, key) && (!due || !q.mayTry(part, dueFor)) {
 		return false
 	}
 	q.endTrial(s)
@@ -36,6 +37,49 @@
 	return true
 }
 
+// hasUnused reports whether this process has recorded a trial of a part for which a call may still
+// be sent. The caller must hold q.mu.
+func (q *quarantineGuard) hasUnused(now boottime.Instant, key servicePart) bool {
+	at, found := q.unused[key]
+	if found && !q.tracker.MayReplaceTrial(now, key.service, key.part, at) {
+		delete(q.unused, key)
+		return false
+	}
+	return found
+}
+
+// recordTrial records that a call is sent as a trial of a part, unless no trial may be sent now.
+// The caller must hold q.mu.
+func (q *quarantineGuard) recordTrial(now boottime.Instant, s *session, part core.PromptPart) bool {
+	key := servicePart{s.admitted.service, part}
+	if q.hasUnused(now, key) {
+		s.triedAt = q.unused[key]
+		delete(q.unused, key)
+		return true
+	}
+	dueFor, _ := q.tracker.TrialDue(now, key.service, part)
+	s.triedAt = now
+	return q.tracker.Trial(now, key.service, part, q.mayTry(part, dueFor))
+}
+
+// notRun records that no engine has run a call that was sent. If it was a trial, the trial has
+// shown nothing, and this call or another one is sent in its place.
+//
+// Load pattern: all engines end at one moment, under calls that share a part. The first trial of
+// the part is due before they are back, while calls wait for its outcome.
+func (q *quarantineGuard) notRun(s *session) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !s.trial {
+		return
+	}
+	now := q.now()
+	for key := range q.unused {
+		q.hasUnused(now, key)
+	}
+	q.unused[servicePart{s.admitted.service, s.trialPart}] = s.triedAt
+}
+
 // endTrial lets another call be the trial of a part. The caller must hold q.mu.
 func (q *quarantineGuard) endTrial(s *session) {
 	if s.trial {
@@ -107,13 +151,12 @@
 		q.endTrial(s)
 		return true
 	}
-	dueFor, _ := q.tracker.TrialDue(now, s.admitted.service, part)
-	if !s.trial || s.trialPart != part || !q.tracker.Trial(now, s.admitted.service, part, q.mayTry(part, dueFor)) {
+	if !s.trial || s.trialPart != part || !q.recordTrial(now, s, part) {
 		q.endTrial(s)
 		return false
 	}
 	trialCalls.Add(1)
-	q.log.Info("Sending one call as the trial of a part of prompts.", "request", s.admitted.call.ID, "service", s.admitted.service, "part", part, "state", state)
+	q.log.Info("Sending one call as the trial of a part of prompts.", "request", s.admitted.call.ID, "service", s.admitted.service, "part", part, "state", state, "recordedMsAgo", now.Sub(s.triedAt).Milliseconds())
 	q.publish(now)
 	return true
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -316,6 +316,17 @@
 	return true
 }
 
+// MayReplaceTrial reports whether a call may be sent in place of that of a trial at an instant,
+// which no engine has run: no process knows more of the part than then, and none sends the next
+// trial yet.
+func (t *Tracker) MayReplaceTrial(now boottime.Instant, service core.ServiceID, part core.PromptPart, at boottime.Instant) bool {
+	s := t.suspects[subject{service, part}]
+	if s == nil || now.Sub(at) > trialReplaceTime {
+		return false
+	}
+	return s.lastCrash() <= s.triedAt && s.triedAt <= at && (t.quarantined(now, service, s) || t.suspended(now, service, s))
+}
+
 // suspect returns the state of a part, which is new if it had none or an expired one.
 func (t *Tracker) suspect(now boottime.Instant, key subject) *suspect {
 	s := t.suspects[key]
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -25,6 +25,9 @@
 	settleDelay = time.Second
 	// trialRepeat is the time after a trial without an outcome at which the next one is due.
 	trialRepeat = 5 * time.Second
+	// trialReplaceTime is for how long after a trial that no engine has run another call may be
+	// sent in its place. It ends before other processes repeat the trial.
+	trialReplaceTime = trialRepeat - time.Second
 )
 
 // crashTime is a crash and the earliest time at which it is known to have been seen.
--- a/quarantine/suspension_test.go
+++ b/quarantine/suspension_test.go
@@ -72,6 +72,36 @@
 	g.Expect(try(405*time.Second, true)).To(BeTrue())
 }
 
+// LOST: a trial that no engine had run counted, and the calls with the part waited for the next one.
+func TestATrialThatNoEngineHasRunIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	newTracker := func() *quarantine.Tracker {
+		tracker := quarantine.New(quarantine.Config{})
+		crashTogether(tracker, 0, 5, 0, "a")
+		g.Expect(tracker.Trial(start.Add(2*time.Second), service, "a", true)).To(BeTrue())
+		return tracker
+	}
+	replace := func(t *quarantine.Tracker, at time.Duration) bool {
+		return t.MayReplaceTrial(start.Add(at), service, "a", start.Add(2*time.Second))
+	}
+	tracker := newTracker()
+	g.Expect(replace(tracker, 3*time.Second)).To(BeTrue())
+	g.Expect(replace(tracker, 6*time.Second)).To(BeTrue())
+	g.Expect(replace(tracker, 6100*time.Millisecond)).To(BeFalse(), "others are about to send the next trial")
+
+	crashAt(tracker, 10, []core.PromptPart{"a"}, 3*time.Second)
+	g.Expect(replace(tracker, 3*time.Second)).To(BeFalse(), "an engine has ended since")
+
+	tracker = newTracker()
+	tracker.Answered(start.Add(3*time.Second), service, []core.PromptPart{"a"})
+	g.Expect(replace(tracker, 3*time.Second)).To(BeFalse(), "the part is sound")
+
+	tracker, other := newTracker(), newTracker()
+	other.Trial(start.Add(7*time.Second), service, "a", true)
+	tracker.Learn(start.Add(4*time.Second), other.Records(start.Add(8*time.Second)))
+	g.Expect(replace(tracker, 4*time.Second)).To(BeFalse(), "another process has sent a trial since")
+}
+
 // A power failure during the trial of a sound part blocked the part.
 func TestATrialThatMeetsAPowerFailureDoesNotBlockThePart(t *testing.T) {
 	g := NewWithT(t)
