quarantine: a part in doubt is not released by an end that others report first

What callers saw: after a kill of all processes, calls with a harmful part come four times a second.

Cause: engines that end at one moment say nothing against a part if as many ended then without it. A gateway has the parts of its own calls only. The second engine that the part ended was first reported by another gateway, whose calls there had other parts; at the other processes that was an end without the part, within the half second that counts as one moment, and released it until the gateway of the harmful call had reported.

Change: for a part in doubt (an unproven one after a kill), ends without it count once they are settleDelay, 1 s, old: by then all processes know of an end. Why this works: within that time the gateway with the part has reported. Moments without a doubt are judged as before, so power failures in a running fleet hold no call longer.

--- a/quarantine/doubt_test.go
+++ b/quarantine/doubt_test.go
@@ -39,6 +39,26 @@
 	g.Expect(blocked(tracker, 104*time.Second, "x")).To(BeFalse())
 }
 
+// BUDGET: the second engine that a part ended released the part at the other processes, until that
+// end was reported with the part as well.
+func TestAPartInDoubtIsNotReleasedByAnEndThatIsReportedWithoutItFirst(t *testing.T) {
+	g := NewWithT(t)
+	first, second, witness, other := newForgetful("a", "b"), newForgetful("a", "b"), newForgetful("a", "b"), newForgetful("a", "b")
+	learn := func(from *quarantine.Tracker, at time.Duration) {
+		other.Learn(start.Add(at), from.Records(start.Add(at)))
+	}
+	crashAt(first, 0, []core.PromptPart{"a", "x"}, time.Second)
+	learn(first, time.Second)
+	crashAt(second, 1, []core.PromptPart{"a", "x"}, 1400*time.Millisecond)
+	crashAt(witness, 1, []core.PromptPart{"b"}, 1400*time.Millisecond)
+	learn(witness, 1450*time.Millisecond)
+	g.Expect(blocked(other, 1450*time.Millisecond, "x")).To(BeTrue())
+	learn(second, 1900*time.Millisecond)
+	for at := 1900 * time.Millisecond; at < 20*time.Second; at += 100 * time.Millisecond {
+		g.Expect(blocked(other, at, "x")).To(BeTrue(), "%s", at)
+	}
+}
+
 // Engines end for other reasons too, and rare parts are not proven then. They wait for an answer
 // to one of their calls.
 func TestAfterARestartOfAllProcessesRarePartsAreSuspendedTogetherUntilAnAnswer(t *testing.T) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -207,7 +207,7 @@
 // clear marks the crashes before an answer as cleared, and reports those that this process had
 // reported.
 func (t *Tracker) clear(now boottime.Instant, key subject, s *suspect, answeredAt boottime.Instant) {
-	suspicious := t.suspicious(key.service, s)
+	suspicious := t.suspicious(now, key.service, s)
 	cleared := s.clear(answeredAt)
 	for _, known := range cleared {
 		if !known.learned {
@@ -223,8 +223,8 @@
 
 // suspicious reports whether a part has more crashes since its last answer than sound parts
 // usually have.
-func (t *Tracker) suspicious(service core.ServiceID, s *suspect) bool {
-	e := t.evidence(service, s)
+func (t *Tracker) suspicious(now boottime.Instant, service core.ServiceID, s *suspect) bool {
+	e := t.evidence(now, service, s)
 	return e.moments > maxRepeatCrashes || e.clump
 }
 
@@ -238,7 +238,7 @@
 		if s == nil || !t.quarantined(now, service, s) {
 			continue
 		}
-		if due := t.blockedTrialDue(service, s); !blocked || due > last {
+		if due := t.blockedTrialDue(now, service, s); !blocked || due > last {
 			part, blocked, last = candidate, true, due
 		}
 	}
@@ -247,7 +247,7 @@
 
 // quarantined reports whether calls with a part are blocked.
 func (t *Tracker) quarantined(now boottime.Instant, service core.ServiceID, s *suspect) bool {
-	return !s.expired(now) && t.blocks(t.evidence(service, s))
+	return !s.expired(now) && t.blocks(t.evidence(now, service, s))
 }
 
 // blocks reports whether a part with some evidence is blocked.
@@ -274,7 +274,7 @@
 		return false
 	}
 	s := t.suspects[key]
-	return s == nil || !t.suspicious(key.service, s)
+	return s == nil || !t.suspicious(now, key.service, s)
 }
 
 // TrialDue reports whether a trial of a blocked or suspended part is due, and since when.
@@ -286,7 +286,7 @@
 	var at boottime.Instant
 	switch {
 	case t.quarantined(now, service, s):
-		at = t.blockedTrialDue(service, s)
+		at = t.blockedTrialDue(now, service, s)
 	case t.suspended(now, service, s):
 		at = s.firstTrialDue()
 	default:
@@ -296,8 +296,8 @@
 }
 
 // blockedTrialDue returns when the next trial of a blocked part is due.
-func (t *Tracker) blockedTrialDue(service core.ServiceID, s *suspect) boottime.Instant {
-	if e := t.evidence(service, s); e.moments < t.config.Threshold && !e.alone {
+func (t *Tracker) blockedTrialDue(now boottime.Instant, service core.ServiceID, s *suspect) boottime.Instant {
+	if e := t.evidence(now, service, s); e.moments < t.config.Threshold && !e.alone {
 		return s.trialDue(1) // blocked by the trial of a suspended part
 	}
 	return s.trialDue(0)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -64,7 +64,7 @@
 		if s.expired(now) {
 			continue
 		}
-		e := t.evidence(key.service, s)
+		e := t.evidence(now, key.service, s)
 		list = append(list, ranking{
 			key: key, suspect: s, count: e.moments, blocked: t.blocks(e),
 			suspicious: e.moments > maxRepeatCrashes || e.clump, relieved: s.relievedAt > 0 && now.Sub(s.relievedAt) <= newsTime,
@@ -147,7 +147,7 @@
 	}
 	key := subject{record.Service, record.Part}
 	s := t.suspect(now, key)
-	suspicious := t.suspicious(record.Service, s)
+	suspicious := t.suspicious(now, record.Service, s)
 	changed, valid := false, false
 	for _, crash := range record.Crashes[:min(len(record.Crashes), maxCrashes)] {
 		if len(crash.Endpoint) > maxIDLength || crash.Age > retention {
@@ -179,7 +179,7 @@
 	if relieved {
 		s.changed(now, true)
 	}
-	if relieved || changed && suspicious && !t.suspicious(record.Service, s) {
+	if relieved || changed && suspicious && !t.suspicious(now, record.Service, s) {
 		s.relievedAt = now
 		t.version++
 	} else if changed && s.uncleared() {
--- a/quarantine/suspension.go
+++ b/quarantine/suspension.go
@@ -34,7 +34,7 @@
 	if len(s.crashes) == 0 || now.Sub(s.lastCrash()) > suspension {
 		return false
 	}
-	e := t.evidence(service, s)
+	e := t.evidence(now, service, s)
 	return e.clump && !t.blocks(e)
 }
 
@@ -52,13 +52,18 @@
 }
 
 // evidence returns what the crashes of a part say about it. Engines that end at one moment say
-// nothing if as many or more ended then without the part.
-func (t *Tracker) evidence(service core.ServiceID, s *suspect) evidence {
+// nothing if as many or more ended then without the part. Under a part in doubt, that holds once
+// all processes know of these: until then, the process with the part may not have reported it.
+func (t *Tracker) evidence(now boottime.Instant, service core.ServiceID, s *suspect) evidence {
 	var e evidence
 	trials := s.currentTrials()
 	for m := range s.moments(t.config.Spacing) {
 		e.moments++
-		if t.crashedWithout(service, s, m) >= m.engines {
+		settled := now
+		if m.doubt != DoubtNone {
+			settled = now.Add(-settleDelay)
+		}
+		if t.crashedWithout(service, s, m, settled) >= m.engines {
 			continue
 		}
 		e.alone = e.alone || m.doubt == DoubtAlone
@@ -68,15 +73,16 @@
 	return e
 }
 
-// crashedWithout returns the number of engines of a service that ended at a moment without a
-// call with the part, as far as known: a part whose list of crashes is full may have been in
-// calls at any of them. Crashes that other processes report appear late by the delay of messages.
-func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment) int {
+// crashedWithout returns the number of engines of a service that ended at a moment, and before an
+// instant, without a call with the part. That is as far as known: a part whose list of crashes is
+// full may have been in calls at any of them. Crashes that other processes report appear late by
+// the delay of messages.
+func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment, before boottime.Instant) int {
 	if len(s.crashes) >= maxCrashes {
 		return 0
 	}
 	list := t.crashes[service]
-	from, to := m.first.Add(-messageDelay), m.last.Add(messageDelay)
+	from, to := m.first.Add(-messageDelay), min(m.last.Add(messageDelay), before)
 	first, _ := slices.BinarySearchFunc(list, from, func(c crashTime, at boottime.Instant) int { return cmp.Compare(c.at, at) })
 	count := 0
 	for _, seen := range list[first:] {
