quarantine: in the simulated kill, messages under way are lost

Cause: the check was wrong, and too kind. When the simulation kills all processes it gives each a new tracker in the same place, and messages sent up to 0.2 s before the kill were delivered to the new one.

Change: a message reaches a process only if it has not been killed since it was sent.

--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -524,7 +524,11 @@
 	}
 	for _, other := range others {
 		if s.random.Float64() >= s.loss {
+			to := other.tracker
 			s.clock.After(s.between(soonest, latest), func() {
+				if other.tracker != to {
+					return // killed meanwhile
+				}
 				other.tracker.LearnCuts(s.instant(other), cuts)
 				other.tracker.Learn(s.instant(other), records)
 			})
