quarantine: engines that end one by one block no rare part after a kill

What callers saw: all processes were killed, and some seconds later engines end one by one for another reason.

That the other engines ended without the part was not looked at beyond half a second.

Change: such an end blocks the part only if no engine is known to have ended without it within 10 s before and after; otherwise the part is suspended as one of several unproven ones is, and the first trial is due after 1 s. Why this works: a harmful part is in all the ends that it causes. Where engines end for both reasons, it costs the engine of one trial.

--- a/quarantine/doubt_test.go
+++ b/quarantine/doubt_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// LOST: engines that ended one by one for another reason had sound parts blocked for 20 s and more,
+// those of rare calls.
+func TestAPartInDoubtIsTriedAtOnceWhenEnginesEndWithoutItToo(t *testing.T) {
+	g := NewWithT(t)
+	tracker := newForgetful("a", "b")
+	crashAt(tracker, 0, []core.PromptPart{"a", "x"}, time.Second)
+	crashAt(tracker, 1, []core.PromptPart{"a", "b"}, 4*time.Second)
+	g.Expect(blocked(tracker, 4500*time.Millisecond, "x")).To(BeTrue(), "another process may have had the part there")
+	g.Expect(blocked(tracker, 5*time.Second, "x")).To(BeFalse())
+	g.Expect(suspended(tracker, 5*time.Second, "x")).To(Equal(core.PromptPart("x")))
+	g.Expect(tracker.Trial(start.Add(5*time.Second), service, "x", true)).To(BeTrue())
+	crashAt(tracker, 2, []core.PromptPart{"a", "x"}, 6*time.Second)
+	g.Expect(blocked(tracker, 6*time.Second, "x")).To(BeTrue())
+	g.Expect(tracker.Trial(start.Add(25*time.Second), service, "x", true)).To(BeFalse())
+	g.Expect(tracker.Trial(start.Add(26*time.Second), service, "x", true)).To(BeTrue())
+}
+
 // Engines end for other reasons too, and rare parts are not proven then. They wait for an answer
 // to one of their calls.
 func TestAfterARestartOfAllProcessesRarePartsAreSuspendedTogetherUntilAnAnswer(t *testing.T) {
@@ -151,9 +168,17 @@
 	playKilledDays(t, "a few a second", harm{share: 0.03})
 }
 
-func playKilledDays(t *testing.T, name string, later harm) {
+// BUDGET: a harmful part was taken for a sound one because engines ended for another reason too.
+func TestFewHarmfulCallsReachEnginesAfterAllProcessesWereKilledWhileEnginesEndOneByOne(t *testing.T) {
+	const every = 2500 * time.Millisecond
+	playKilledDays(t, "one every 2 s", harm{clump: 1, interval: 2 * time.Second}, outage{at: 11 * time.Second, interval: every, engines: 15})
+}
+
+func playKilledDays(t *testing.T, name string, later harm, others ...outage) {
 	for _, gateways := range []int{3, 7, 38} {
-		play(t, name, 3, killedDay(gateways, later), func(g *WithT, r report) {
+		day := killedDay(gateways, later)
+		day.others = others
+		play(t, name, 3, day, func(g *WithT, r report) {
 			g.Expect(r.crashes[0]).To(BeNumerically(">", 5))
 			g.Expect(r.late[0]).To(BeNumerically("<=", 3), "calls with the harmful part")
 			g.Expect(r.blockedRoutes).To(BeNumerically("<", time.Second))
--- a/quarantine/suspension.go
+++ b/quarantine/suspension.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/zinniaseam/zinniaseam/boottime"
 	"github.com/zinniaseam/zinniaseam/core"
@@ -63,26 +64,25 @@
 		if m.doubt != DoubtNone {
 			settled = now.Add(-settleDelay)
 		}
-		if t.crashedWithout(service, s, m, settled) >= m.engines {
+		if t.crashedWithout(service, s, m, messageDelay, settled) >= m.engines {
 			continue
 		}
-		e.alone = e.alone || m.doubt == DoubtAlone
+		e.alone = e.alone || m.doubt == DoubtAlone && t.crashedWithout(service, s, m, repeatWindow, settled) == 0
 		e.clump = e.clump || m.engines >= minClump || m.doubt != DoubtNone
 		e.failedTrial = e.failedTrial || e.clump && trials > 0 && m.last > s.triedAt
 	}
 	return e
 }
 
-// crashedWithout returns the number of engines of a service that ended at a moment, and before an
-// instant, without a call with the part. That is as far as known: a part whose list of crashes is
-// full may have been in calls at any of them. Crashes that other processes report appear late by
-// the delay of messages.
-func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment, before boottime.Instant) int {
+// crashedWithout returns the number of engines of a service that ended without a call with the part
+// within a time of a moment, and before an instant. That is as far as known: a part whose list of
+// crashes is full may have been in calls at any of them.
+func (t *Tracker) crashedWithout(service core.ServiceID, s *suspect, m moment, within time.Duration, before boottime.Instant) int {
 	if len(s.crashes) >= maxCrashes {
 		return 0
 	}
 	list := t.crashes[service]
-	from, to := m.first.Add(-messageDelay), min(m.last.Add(messageDelay), before)
+	from, to := m.first.Add(-within), min(m.last.Add(within), before)
 	first, _ := slices.BinarySearchFunc(list, from, func(c crashTime, at boottime.Instant) int { return cmp.Compare(c.at, at) })
 	count := 0
 	for _, seen := range list[first:] {
