gateway: calls without parts don't touch the quarantine when no engine has run them

Change: notRun returns first too. Refusals of calls without parts take no lock, as before.

Evidence: the test failed before and passes now.

--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -68,6 +68,9 @@
 // Load pattern: all engines end at one moment, under calls that share a part. The first trial of
 // the part is due before they are back, while calls wait for its outcome.
 func (q *quarantineGuard) notRun(s *session) {
+	if len(s.admitted.call.SharedParts) == 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !s.trial {
