--- a/quarantine/simulated_kill_test.go
+++ b/quarantine/simulated_kill_test.go
@@ -3,9 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/zinniaseam/zinniaseam/core"
-	"github.com/zinniaseam/zinniaseam/quarantine"
 )
 
 // restartTime is how long all processes take to serve again after they have been killed.
@@ -31,7 +28,8 @@
 		})
 	}
 	for _, process := range slices.Concat(s.gateway, s.hub) {
-		*process = gateway{index: process.index, tracker: quarantine.New(s.config), trials: map[core.PromptPart]bool{}, blockedSince: map[core.PromptPart]time.Duration{}, sentAt: s.now()}
+		*process = *newGateway(process.index, s.config)
+		process.sentAt = s.now()
 		if !s.unaware {
 			process.tracker.Forget(s.instant(process))
 		}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -98,41 +98,6 @@
 	engines      int
 }
 
-// report is what was measured.
-type report struct {
-	// crashes is the number of ends caused by each harmful part; late the number of calls
-	// with it that reached engines later than afterFifth after its fifth crash.
-	crashes, late []int
-	// calm is the share of sound calls of the first route that began at the first attempt
-	// before any harm, during that share between the fifth crash and settled, and after the
-	// share since then.
-	calm, during, after share
-	// victims are the sound calls that were cut before they began, and those of them that
-	// were repeated.
-	victims share
-	// blockedRoutes is the longest time for which some gateway kept a route's first part
-	// blocked.
-	blockedRoutes time.Duration
-	// blockedCalls is the number of sound calls that were blocked, total of all sound calls.
-	blockedCalls, total int
-	// stillBlocked is the number of sound parts that are blocked at the end.
-	stillBlocked int
-}
-
-type share struct{ begun, sent int }
-
-func (s share) value() float64 {
-	if s.sent == 0 {
-		return 1
-	}
-	return float64(s.begun) / float64(s.sent)
-}
-
-func (r report) String() string {
-	return fmt.Sprintf("crashes %v late %v calm %.3f during %.3f after %.3f blocked routes %v blocked calls %d of %d still %d",
-		r.crashes, r.late, r.calm.value(), r.during.value(), r.after.value(), r.blockedRoutes, r.blockedCalls, r.total, r.stillBlocked)
-}
-
 type simulation struct {
 	scenario
 	clock    *virtualtime.Clock
@@ -180,6 +145,10 @@
 	counted  *share // the share to which it counts, nil for none
 }
 
+func newGateway(index int, config quarantine.Config) *gateway {
+	return &gateway{index: index, tracker: quarantine.New(config), trials: map[core.PromptPart]bool{}, blockedSince: map[core.PromptPart]time.Duration{}}
+}
+
 func simulate(seed uint64, s scenario) report {
 	start := time.Unix(0, 0)
 	sim := &simulation{scenario: s, clock: virtualtime.New(start), start: start, random: rand.New(rand.NewPCG(seed, 1)), firstBad: time.Duration(s.seconds) * time.Second}
@@ -187,7 +156,7 @@
 	sim.report.crashes, sim.report.late = make([]int, len(s.harms)), make([]int, len(s.harms))
 	sim.fifthAt = make([]time.Duration, len(s.harms))
 	for i := range s.gateways {
-		g := &gateway{index: i, tracker: quarantine.New(s.config), trials: map[core.PromptPart]bool{}, blockedSince: map[core.PromptPart]time.Duration{}}
+		g := newGateway(i, s.config)
 		sim.gateway = append(sim.gateway, g)
 		sim.clock.After(sim.between(0, sendInterval), func() {
 			sim.exchange(g)
@@ -195,7 +164,7 @@
 		})
 	}
 	for i := range s.hubs {
-		hub := &gateway{index: i, tracker: quarantine.New(s.config)}
+		hub := newGateway(i, s.config)
 		sim.hub = append(sim.hub, hub)
 		sim.clock.Every(hubInterval, func() { sim.passOn(hub) })
 	}
@@ -237,55 +206,6 @@
 	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
 }
 
-// arrivals issues calls at random times; harm is the harmful part, -1 for none.
-func (s *simulation) arrivals(harm int, perSecond float64) {
-	s.clock.After(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
-		if !s.restarting() {
-			s.arrive(harm)
-		}
-		s.arrivals(harm, perSecond)
-	})
-}
-
-// clumps issues several calls with a harmful part at one moment, again and again.
-func (s *simulation) clumps(harm int) {
-	for range s.harms[harm].clump {
-		if !s.restarting() {
-			s.arrive(harm)
-		}
-	}
-	s.clock.After(s.harms[harm].interval, func() { s.clumps(harm) })
-}
-
-func harmfulPart(i int) core.PromptPart { return core.PromptPart(fmt.Sprint("harmful-", i)) }
-
-func routePart(i int) core.PromptPart { return core.PromptPart(fmt.Sprint("route-", i)) }
-
-// arrive issues one call. Harmful calls belong to the first route; few calls share a
-// document.
-func (s *simulation) arrive(harm int) {
-	route := s.random.IntN(routeCount)
-	if harm >= 0 {
-		route = 0
-	}
-	customer := int(float64(customerCount) * s.random.Float64() * s.random.Float64())
-	document := int(float64(documentCount) * s.random.Float64() * s.random.Float64())
-	parts := []core.PromptPart{routePart(route), core.PromptPart(fmt.Sprint("customer-", customer)), core.PromptPart(fmt.Sprint("document-", document))}
-	c := &call{gateway: s.gateway[s.random.IntN(len(s.gateway))], harm: harm, sentAt: s.now()}
-	if harm >= 0 {
-		parts[1+s.random.IntN(2)] = harmfulPart(harm)
-		c.lethal = s.now() >= s.harms[harm].harmfulFrom
-	}
-	for range s.ownParts {
-		parts = append(parts, core.PromptPart(fmt.Sprintf("%016x", s.random.Uint64())))
-	}
-	if s.sharedPart {
-		parts = append([]core.PromptPart{sharedPart}, parts...)
-	}
-	c.parts = parts
-	s.offer(c)
-}
-
 // offer sends a call to an engine unless it is blocked.
 func (s *simulation) offer(c *call) {
 	now := s.instant(c.gateway)
@@ -489,137 +409,3 @@
 		s.clock.After(o.at+time.Duration(i)*o.interval, func() { s.end(s.engines[order[i]]) })
 	}
 }
-
-// exchange sends a gateway's records if they have changed or were not sent for a while.
-func (s *simulation) exchange(g *gateway) {
-	since := s.now() - g.sentAt
-	news := g.tracker.Version() != g.sentVersion || g.tracker.Reported() != g.lastCut
-	if since < sendInterval || !news && since < repeatInterval {
-		return
-	}
-	records := g.tracker.Records(s.instant(g))
-	cuts, last := g.tracker.Cuts(s.instant(g), g.lastCut)
-	g.sentVersion, g.lastCut, g.sentAt = g.tracker.Version(), last, s.now()
-	if s.hubs > 0 {
-		s.tell(s.hub, records, cuts, 25*time.Millisecond, 200*time.Millisecond)
-		return
-	}
-	s.tell(s.peers(g), records, nil, 50*time.Millisecond, 400*time.Millisecond)
-}
-
-// passOn sends a hub's records to all gateways if they have changed or were not sent for a while.
-func (s *simulation) passOn(hub *gateway) {
-	if hub.tracker.Version() == hub.sentVersion && s.now()-hub.sentAt < hubRepeatInterval {
-		return
-	}
-	records := hub.tracker.Records(s.instant(hub))
-	hub.sentVersion, hub.sentAt = hub.tracker.Version(), s.now()
-	s.tell(s.gateway, records, nil, 25*time.Millisecond, 200*time.Millisecond)
-}
-
-// tell sends records and cuts to other processes.
-func (s *simulation) tell(others []*gateway, records []quarantine.Record, cuts []quarantine.Cut, soonest, latest time.Duration) {
-	if len(records)+len(cuts) == 0 {
-		return
-	}
-	for _, other := range others {
-		if s.random.Float64() >= s.loss {
-			to := other.tracker
-			s.clock.After(s.between(soonest, latest), func() {
-				if other.tracker != to {
-					return // killed meanwhile
-				}
-				other.tracker.LearnCuts(s.instant(other), cuts)
-				other.tracker.Learn(s.instant(other), records)
-			})
-		}
-	}
-}
-
-// peers returns the gateways that get a message.
-func (s *simulation) peers(g *gateway) []*gateway {
-	if len(s.gateway) <= fanOut {
-		return slices.DeleteFunc(slices.Clone(s.gateway), func(other *gateway) bool { return other == g })
-	}
-	var chosen []*gateway
-	for range fanOut {
-		if other := s.gateway[s.random.IntN(len(s.gateway))]; other != g {
-			chosen = append(chosen, other)
-		}
-	}
-	return chosen
-}
-
-// shareOf returns the share to which a call counts, nil if to none.
-func (s *simulation) shareOf(c *call) *share {
-	if c.harm >= 0 || c.parts[0] != routePart(0) {
-		return nil
-	}
-	if c.sentAt < s.firstBad-2*time.Second {
-		return &s.report.calm
-	}
-	if len(s.fifthAt) == 0 || s.fifthAt[0] == 0 || c.sentAt > time.Duration(s.seconds)*time.Second-2*time.Second {
-		return nil
-	}
-	if c.sentAt > s.fifthAt[0]+settled {
-		return &s.report.after
-	}
-	return &s.report.during
-}
-
-func (s *simulation) countSent(c *call) {
-	if c.harm < 0 {
-		s.report.total++
-	}
-	if c.counted = s.shareOf(c); c.counted != nil {
-		c.counted.sent++
-	}
-}
-
-func (s *simulation) countBegun(c *call) {
-	if c.counted != nil {
-		c.counted.begun++
-	}
-}
-
-// checkRoutes measures how long gateways keep the first part of a route blocked.
-func (s *simulation) checkRoutes() {
-	for _, g := range s.gateway[:min(len(s.gateway), 10)] {
-		for i := range routeCount + 1 {
-			part := routePart(i)
-			if i == routeCount {
-				part = sharedPart
-			}
-			since, known := g.blockedSince[part]
-			_, blocked := g.tracker.Blocked(s.instant(g), simulatedService, []core.PromptPart{part})
-			switch {
-			case !blocked:
-				delete(g.blockedSince, part)
-			case !known:
-				g.blockedSince[part] = s.now()
-			default:
-				s.report.blockedRoutes = max(s.report.blockedRoutes, s.now()-since)
-			}
-		}
-	}
-}
-
-// countBlocked returns the number of sound parts that the first gateway blocks.
-func (s *simulation) countBlocked() int {
-	count := 0
-	check := func(name string, n int) {
-		for i := range n {
-			part := core.PromptPart(fmt.Sprint(name, i))
-			if _, blocked := s.gateway[0].tracker.Blocked(s.instant(s.gateway[0]), simulatedService, []core.PromptPart{part}); blocked {
-				count++
-			}
-		}
-	}
-	check("route-", routeCount)
-	if _, blocked := s.gateway[0].tracker.Blocked(s.instant(s.gateway[0]), simulatedService, []core.PromptPart{sharedPart}); blocked {
-		count++
-	}
-	check("customer-", customerCount)
-	check("document-", documentCount)
-	return count
-}
--- a/quarantine/suspension.go
+++ b/quarantine/suspension.go
@@ -45,7 +45,8 @@
 	moments int
 	// clump is set if several engines ended at one of them, or one under an unproven part.
 	clump bool
-	// alone is set if an engine ended under the part alone that no answer had shown to be sound.
+	// alone is set if an engine ended under the part as the only unproven one, and none without it
+	// around that time.
 	alone bool
 	// failedTrial is set if an engine ended after the last trial of a part that had been
 	// suspended.
