program: signals have handlers before the process is built

TestAHangupReloadsAndDoesNotEndTheProcess was ended by its own SIGTERM ("signal: terminated", 0.028 s). A process that got SIGHUP while it started ended in place of reading its settings again; one that got SIGTERM ended without its shutdown and with the status of a signal.

Cause: SIGHUP had a handler only after the process was built, and SIGTERM only after that, so that a reload could be answered before SIGTERM was handled. The test waits for exactly these two moments.

Change: Main sets all handlers before it reads the settings. A hangup waits until the process is built, SIGTERM until it runs.

What remains: real gateways that get SIGHUP within some 4 ms of their start still end (Go's start-up before main).

--- a/program/program.go
+++ b/program/program.go
@@ -32,22 +32,28 @@
 	Reload()
 }
 
-// reloadOnHangup calls Reload on each SIGHUP. Without a handler, the signal would
-// end the process.
-func reloadOnHangup(r Reloader) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			r.Reload()
-		}
-	}()
+// reloadOnHangups calls Reload on each hangup.
+func reloadOnHangups(r Reloader, hangups <-chan os.Signal) {
+	for range hangups {
+		r.Reload()
+	}
 }
 
 // Main parses the settings, builds the process and runs it until SIGTERM or
 // SIGINT. It returns the exit code: 0 after a graceful shutdown, 1 after a
 // failure, 2 for invalid settings.
+//
+// A signal that arrives while the process is being built is handled once it is built.
+// SIGHUP ends a process whose type R is not a Reloader.
 func Main[O any, R Runner](parse func(args []string) (O, error), build func(options O, start time.Time) (R, error)) int {
+	// Without a handler, a signal ends the process at once.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	var unbuilt R
+	if _, reloads := any(unbuilt).(Reloader); reloads {
+		signal.Notify(hangups, syscall.SIGHUP)
+	}
 	options, err := parse(os.Args[1:])
 	if errors.Is(err, settings.ErrPrinted) || errors.Is(err, flag.ErrHelp) {
 		return exitOK
@@ -62,10 +68,8 @@
 		return exitSettings
 	}
 	if r, reloads := any(process).(Reloader); reloads {
-		reloadOnHangup(r)
+		go reloadOnHangups(r, hangups)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	if err := process.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -26,7 +26,7 @@
 	code := make(chan int, 1)
 	go func() {
 		code <- program.Main(
-			func([]string) (int, error) { return 0, nil },
+			parseNothing,
 			func(int, time.Time) (*process, error) { close(built); return p, nil },
 		)
 	}()
@@ -43,3 +43,32 @@
 	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(Succeed())
 	g.Eventually(code).Should(Receive(Equal(0)))
 }
+
+// buildAfter returns a build function that first sends the signal to this process.
+func buildAfter(g *WithT, s syscall.Signal, p *process) func(int, time.Time) (*process, error) {
+	return func(int, time.Time) (*process, error) {
+		g.Expect(syscall.Kill(os.Getpid(), s)).To(Succeed())
+		return p, nil
+	}
+}
+
+func parseNothing([]string) (int, error) { return 0, nil }
+
+// Without a handler yet, a hangup ended a process that was starting.
+func TestAHangupWhileTheProcessIsBuiltReloadsItAfterwards(t *testing.T) {
+	g := NewWithT(t)
+	p := &process{reloads: make(chan struct{})}
+	code := make(chan int, 1)
+	go func() { code <- program.Main(parseNothing, buildAfter(g, syscall.SIGHUP, p)) }()
+	g.Eventually(p.reloads).Should(Receive())
+	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(Succeed())
+	g.Eventually(code).Should(Receive(Equal(0)))
+}
+
+// Without a handler yet, SIGTERM ended a process that was starting without its shutdown.
+func TestAStopWhileTheProcessIsBuiltIsGraceful(t *testing.T) {
+	g := NewWithT(t)
+	code := make(chan int, 1)
+	go func() { code <- program.Main(parseNothing, buildAfter(g, syscall.SIGTERM, &process{})) }()
+	g.Eventually(code).Should(Receive(Equal(0)))
+}
